--- /dev/null
+++ b/admission/host.go
@@ -0,0 +1,133 @@
+// Package admission decides, inside one server of a fleet, which work items it takes, runs and turns away.
+package admission
+
+// Tenths is a point or a span of time in tenths of a millisecond.
+type Tenths int64
+
+// Effect says what a second run of a work item would do.
+type Effect int
+
+const (
+	Harmless Effect = iota // may run again
+	Stamped                // carries a mark by which a repeat is known; one run a server and window
+	OneShot                // must never run twice
+)
+
+// Outcome is how a run, a shared answer or a call ended.
+type Outcome int
+
+const (
+	Well       Outcome = iota // it went well
+	Badly                     // it failed and may have had its effect
+	Unseen                    // a call turned away or not connected: it provably never ran
+	Unknown                   // a call given up or broken off: it may have had its effect
+	Cut                       // the run was stopped, or ended at a call
+	NeverBegun                // nothing was begun, the work item was already over
+)
+
+// Tongue is what callers make of the value that goes out with answers.
+type Tongue int
+
+const (
+	Mute    Tongue = iota // no value is passed on
+	Rank                  // callers send nothing of lower rank
+	Allowed               // each caller has at most so many work items out here
+	Odds                  // the chance that a caller does not pass this server over
+)
+
+// Category is what a deployment says of one kind of work item.
+type Category struct {
+	Gain      float64
+	LateShare float64 // share of the gain left between contract time and expiry
+	Contract  Tenths
+	Expiry    Tenths
+	Window    Tenths // how long a stamped work item may come again
+	Effect    Effect
+	Calls     bool // may call below
+}
+
+// Tenant is what a deployment says of one of those who share it.
+type Tenant struct {
+	Share float64
+	Quota float64 // work items a second over the whole fleet
+}
+
+// Deployment is what a server is told when it starts.
+type Deployment struct {
+	Seed       int64
+	Categories []Category
+	Tenants    []Tenant
+	Servers    int
+	Callers    int
+	Cores      int
+	Memory     float64 // kilobytes
+	RunFactor  float64 // memory of a running work item over that of a held one
+	EntryKb    float64 // memory of a remembered stamp
+	Period     Tenths  // batches come at most this often
+	Slack      Tenths  // an answer may be this late
+	Grace      Tenths  // what comes later than this after the notice to leave is not run
+
+	Cold      bool
+	ColdFrom  float64 // share of its speed that a cold server starts at
+	ColdFor   Tenths  // it is warm after this
+	Crowd     float64 // running work items for each core that a warm server survives
+	CrowdOver Tenths  // in the mean of this span
+
+	SharedBelow bool    // one dependency for the whole fleet
+	CallShare   float64 // this server's part of the calls in hand that it survives
+	CallsOver   Tenths  // in the mean of this span
+	Linger      Tenths  // a call given up stays in its hands for this long
+
+	Tongue      Tongue
+	Heard       Tenths // callers remember the value for this long
+	MaxAway     Tenths // the longest time to stay away that callers heed; 0 where advice is not passed on
+	Stops       bool   // running work can be stopped, its progress is lost
+	TellsLeft   bool   // work items say how long their caller waits
+	HealthList  bool   // the list of servers follows the health answer
+	DeepChecks  bool   // health checks do real work unless answered from store
+	WholeWeight float64
+	ClassWeight float64 // weight of the worst-served category
+	OwnerWeight float64 // weight of the worst-served tenant
+	OverShare   float64 // what a work item beyond its tenant's share is worth
+}
+
+// Arrival is what a work item says of itself when it has been read.
+type Arrival struct {
+	Category int
+	Tenant   int
+	Caller   int
+	Rank     float64
+	HeldKb   float64
+	Unread   Tenths    // time since it reached the machine
+	Left     Tenths    // time its caller still waits; 0 where that is not told
+	Again    bool      // marked as a further try
+	Repeats  bool      // another try of the same stamped work item is held here or has run
+	Earlier  *WorkItem // that try, where the host still has its handle
+	Door     uint64    // the host's own mark, never read here
+}
+
+// Gauges are the server's own meters.
+type Gauges struct {
+	CoreUse float64 // share of the cores busy, over the last half second
+	OnCores float64 // all that wants a core now
+	Memory  float64 // share of the memory in use
+	Links   float64 // open connections
+}
+
+// Host is what the embedding server does for the module. No call may call back.
+type Host interface {
+	Run(w *WorkItem)
+	Share(w *WorkItem) // answer with the result of the try that w repeats
+	Decline(w *WorkItem, stayAway Tenths, nowhereElse bool)
+	BreakOff(w *WorkItem)
+	Stop(w *WorkItem)
+	Call(w *WorkItem, until Tenths) // until is clock time
+	Remember(w *WorkItem, span Tenths)
+	Forget(w *WorkItem)
+	Say(value float64)
+	Health(good, fromStore bool)
+	CloseIdle(after Tenths)
+	Wake(after Tenths)
+	Note(text string)
+	Over(w *WorkItem) // the handle is of no more use
+}
