--- a/admission/admission.go
+++ b/admission/admission.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand"
 )
@@ -25,7 +26,7 @@
 	rememberPart = 0.95    // part of the memory up to which stamps may be remembered
 	callsPart    = 0.8     // part of the share of calls in hand that is used
 	holdPart     = 0.5     // part of the waiting that budgets allow which callers are invited to fill
-	patienceSlip = 0.98    // a try that waits less than this part of the longest wait is a later try
+	alike        = 0.01    // tries whose waits differ by less, as a share of the expiry, wait alike
 	bins         = 24      // bins of a histogram
 	binsAScale   = 16      // and how many of them make up its scale
 	few          = 8       // counts that say nothing yet
@@ -92,8 +93,9 @@
 
 // caller is what is known of one caller of this server.
 type caller struct {
-	taken    float64 // work items of late
-	patience float64 // longest time a try of its waited, as a share of its category's expiry
+	taken float64 // work items of late
+	waits float64 // how long its first tries wait, as a share of the expiry: what most of its tries do
+	votes float64 // by how many these are ahead
 }
 
 type state int
@@ -256,12 +258,11 @@
 	who.taken++
 	if s.tellsLeft && a.Left > 0 {
 		w.due = s.now + a.Left
-		// A try that waits less than its caller's others is a later one, and its contract time began
-		// with the first: what is too late already is not worth a run.
+		// A caller's first tries all wait alike. One that does not is a later try, waits for what is left
+		// of the expiry, and its contract time began with the first: too late already, it is not run.
 		waits := float64(a.Left+a.Unread) / float64(c.expiry)
-		who.patience = max(who.patience, waits)
-		if waits < who.patience*patienceSlip && waits < 1 {
-			w.contract -= Tenths((1 - waits) * float64(c.expiry))
+		if who.usual(waits); who.votes > few && math.Abs(waits-who.waits) > alike {
+			w.contract -= Tenths((1 - min(1, waits)) * float64(c.expiry))
 		}
 	}
 	w.due = min(w.due, s.stop) - s.margin
@@ -317,6 +318,15 @@
 	return true
 }
 
+// usual keeps what most tries of late wait, by votes for and against.
+func (c *caller) usual(waits float64) {
+	if math.Abs(waits-c.waits) <= alike {
+		c.votes = min(c.votes+1, enough)
+	} else if c.votes--; c.votes < 0 {
+		c.waits, c.votes = waits, 1
+	}
+}
+
 func (s *Server) caller(i int) *caller {
 	for i >= len(s.callers) {
 		s.callers = append(s.callers, &caller{})
@@ -663,6 +673,8 @@
 		}
 	}
 	s.last = cur
+	s.host.Note(fmt.Sprintf("pool %.0f in %d calls %d hold %d trip %d said %.1f in %.1f out %.1f drops %.1f",
+		s.pool, s.inPool, s.atCalls, len(s.hold), int(s.trip/10), s.said, cur.in*1e4, cur.out*1e4, cur.drops*1e4))
 	s.openWindow()
 }
 
@@ -698,7 +710,7 @@
 		default:
 			w.state = calling
 			s.callsIn++
-			s.host.Call(w, w.due)
+			s.host.Call(w, w.worthUntil())
 		}
 	}
 	s.stood = wait
