--- a/admission/admission.go
+++ b/admission/admission.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	efficiency   = 0.25    // t_e: least share of added starts that must come out as answers
+	efficiency   = 0.75    // t_e: least share of added starts that must come out as answers
 	dropLimit    = 1.0     // t_d: drops for each start that shrink the pool
 	aggression   = 0.001   // alpha: step of the pool for each caller
 	firstTrip    = 1000    // round trip before any is measured: 100 ms
