--- a/admission/admission.go
+++ b/admission/admission.go
@@ -18,8 +18,9 @@
 	aggression   = 0.001   // alpha: step of the pool for each caller
 	firstTrip    = 1000    // round trip before any is measured: 100 ms
 	tripsAWindow = 4       // length of a window in round trips, the first of which is skipped
+	crowded      = 2.0     // with more than this on the cores for each core the pool gives way
 	idleCores    = 0.9     // below this use the cores read idle
-	budgetAt     = 0.9     // quantile of quiet runs that the queueing budget leaves room for
+	budgetAt     = 0.99    // quantile of quiet runs that the queueing budget leaves room for
 	ticksAnAim   = 40      // gauges are read this often in the shortest contract time, while work is in hand
 	crowdPart    = 0.9     // part of the crowd that the server survives that may be on the cores
 	memoryPart   = 0.9     // part of the memory that work in hand may fill
@@ -80,6 +81,7 @@
 	gain, lateShare          float64
 	contract, expiry, window Tenths
 	effect                   Effect
+	runs                     spread   // times of all runs, those broken off as long as they had run
 	quiet                    spread   // times of runs that the cores were not crowded during
 	stamps                   []*stamp // in the order in which they were entered
 }
@@ -163,8 +165,10 @@
 
 	// The pool and its experiment.
 	pool, step, cores   float64
-	inPool              int // begun and not over, calls and disk included
-	atCalls             int // of these, off the cores at a call
+	onCores             float64 // what wants a core, of late
+	relief              Tenths  // the pool gives way to a crowd again from then on
+	inPool              int     // begun and not over, calls and disk included
+	atCalls             int     // of these, off the cores at a call
 	opened, counts, end Tenths
 	cur, last           window
 	trip                float64 // mean response time of late
@@ -222,7 +226,7 @@
 		s.categories = append(s.categories, &category{gain: c.Gain, service: service{weight: d.ClassWeight / whole},
 			lateShare: c.LateShare, contract: c.Contract,
 			expiry: c.Expiry, window: c.Window, effect: c.Effect,
-			quiet: spread{width: max(1, c.Contract/binsAScale)}})
+			quiet: spread{width: max(1, c.Contract/binsAScale)}, runs: spread{width: max(1, c.Contract/binsAScale)}})
 	}
 	s.owner = &tenant{room: math.Inf(1), most: math.Inf(1)}
 	for _, t := range d.Tenants {
@@ -391,7 +395,10 @@
 // fulfilled counts an answer that went out. Only answers that somebody still waits for and that earn their
 // gain count as output of the pool: without this, runs for callers that left would credit waste.
 func (s *Server) fulfilled(w *WorkItem, took Tenths) {
-	if w.state != sharing && w.quiet && float64(s.inPool-s.atCalls) <= s.cores {
+	if w.state != sharing {
+		w.category.runs.add(took)
+	}
+	if w.state != sharing && w.quiet && s.onCores <= s.cores {
 		w.category.quiet.add(took)
 	}
 	if w.answered || w.gone {
@@ -451,6 +458,14 @@
 	if idle := s.cores - g.OnCores; idle >= 1 && g.CoreUse < idleCores && len(s.hold) > 0 && s.full {
 		s.pool += math.Floor(min(idle, float64(len(s.hold))))
 	}
+	// The other way round: what crowds the cores well past their number adds nothing. Once a round trip, since
+	// it takes that long to show. Guards against whatever makes runs pile up faster than windows can see: slow
+	// or shared cores, bursts back from the disk, a storm of reading.
+	s.onCores += (g.OnCores - s.onCores) / 8
+	if s.onCores > crowded*s.cores && s.now >= s.relief {
+		s.pool = max(s.cores, min(s.pool, float64(s.inPool))-math.Ceil(s.onCores-crowded*s.cores))
+		s.relief = s.now + Tenths(s.trip)
+	}
 }
 
 // Decide ends a batch: all that has become known is answered, declined, run or held.
@@ -500,7 +515,7 @@
 
 // giveUp is the moment from which a held work item has no fair chance left; it is answered then, not later.
 func (w *WorkItem) giveUp() Tenths {
-	return max(w.s.now+1, min(w.due, w.worthUntil()-w.category.quiet.at(0.25)))
+	return max(w.s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(0.5)))
 }
 
 // queueAhead reads the wait of the queue that would run before w: that of the oldest held there.
@@ -523,10 +538,10 @@
 		v *= s.overShare
 	}
 	v += c.bonus(s.worst[0], s.asked) + w.tenant.bonus(s.worst[1], s.asked)
-	if s.now+c.quiet.at(0.5) > w.contract {
+	if s.now+c.runs.at(0.5) > w.contract {
 		v *= c.lateShare
 	}
-	return v / float64(max(c.contract/binsAScale, c.quiet.at(0.5)))
+	return v / float64(max(c.contract/binsAScale, c.runs.at(0.5)))
 }
 
 // weigh finds the category and the tenant served worst here of late, and the mean gain asked for.
@@ -629,7 +644,7 @@
 		w.state, w.ran, w.began = running, true, s.now
 		s.memory += w.kb * (s.runFactor - 1)
 		s.inPool++
-		w.quiet = float64(s.inPool-s.atCalls) <= s.cores
+		w.quiet = s.onCores <= s.cores
 		if s.now >= s.counts {
 			s.cur.in++
 		}
@@ -786,6 +801,8 @@
 	s.host.BreakOff(w)
 	if w.state == sharing {
 		s.finish(w)
+	} else {
+		w.category.runs.add(s.now - w.began)
 	}
 }
 
