--- a/admission/admission.go
+++ b/admission/admission.go
@@ -26,7 +26,7 @@
 	memoryPart   = 0.9     // part of the memory that work in hand may fill
 	rememberPart = 0.95    // part of the memory up to which stamps may be remembered
 	callsPart    = 0.8     // part of the share of calls in hand that is used
-	holdPart     = 0.5     // part of the waiting that budgets allow which callers are invited to fill
+	holdPart     = 0.25    // part of the waiting that budgets allow which callers are invited to fill
 	alike        = 0.01    // tries whose waits differ by less, as a share of the expiry, wait alike
 	bins         = 24      // bins of a histogram
 	binsAScale   = 16      // and how many of them make up its scale
@@ -190,6 +190,7 @@
 	callsAt, callsOver, linger             Tenths
 	lingering                              []Tenths
 	callTook                               spread
+	lost                                   spread // ages at which tries ended here without their answer
 	stops, tellsLeft                       bool
 	margin                                 Tenths
 	notice, grace, stop                    Tenths // notice to leave; forever without one
@@ -201,6 +202,11 @@
 	heard     Tenths
 	maxAway   Tenths
 	overShare float64
+	allowed   float64 // work items that each caller may have out here
+	inHand    int     // work items taken and not over
+	reads     float64 // work items taken since spokeAt
+	unread    float64 // how long they lay unread, of late
+	spokeAt   Tenths
 	wakeAt    Tenths
 	ahead     Tenths
 }
@@ -213,7 +219,7 @@
 		below: d.SharedBelow, callsMost: d.CallShare * callsPart, callsOver: max(1, d.CallsOver), callsAt: now,
 		linger: d.Linger, stops: d.Stops, tellsLeft: d.TellsLeft, margin: 2*d.Period + 1, notice: forever,
 		grace: d.Grace, stop: forever, tongue: d.Tongue, said: untold, heard: max(1, d.Heard),
-		maxAway: d.MaxAway, overShare: d.OverShare, wakeAt: forever}
+		maxAway: d.MaxAway, overShare: d.OverShare, wakeAt: forever, allowed: untold}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, max(1, d.ColdFor), now+d.ColdFor
 	}
@@ -237,6 +243,7 @@
 	}
 	s.tick = max(1, shortest/ticksAnAim)
 	s.callTook.width = max(1, longest/binsAScale/2)
+	s.lost.width = s.callTook.width
 	s.openWindow()
 	if d.DeepChecks {
 		host.Health(true, true)
@@ -269,8 +276,15 @@
 			w.contract -= Tenths((1 - min(1, waits)) * float64(c.expiry))
 		}
 	}
+	if a.Again && w.contract == w.arrived+c.contract {
+		// How old a marked try is, is not told: as old, most likely, as those become that end here unserved.
+		w.contract -= s.lost.at(0.5)
+	}
 	w.due = min(w.due, s.stop) - s.margin
 	s.memory += w.kb
+	s.inHand++
+	s.reads++
+	s.unread += (float64(a.Unread) - s.unread) / 16
 	c.asked++
 	w.tenant.asked++
 	if s.asked++; s.asked > enough {
@@ -422,6 +436,7 @@
 		return
 	}
 	w.gone = true
+	s.lost.add(s.now - w.arrived)
 	switch w.state {
 	case held, sharing:
 		s.leaveHold(w)
@@ -782,6 +797,7 @@
 		s.cur.drops++
 	}
 	w.answered = true
+	s.lost.add(s.now - w.arrived)
 	if s.notice != forever {
 		away = forever
 	}
@@ -812,6 +828,7 @@
 		return
 	}
 	s.memory -= w.kb
+	s.inHand--
 	if w.ran && w.state != sharing {
 		s.inPool--
 		s.memory -= w.kb * (s.runFactor - 1)
@@ -834,20 +851,10 @@
 	leaving := s.notice != forever
 	switch s.tongue {
 	case Allowed:
-		sum, squares := 0.0, 0.0
-		for _, c := range s.callers {
-			sum, squares = sum+c.taken, squares+c.taken*c.taken
-		}
-		active := 1.0
-		if squares > 0 {
-			active = sum * sum / squares
-		}
-		least := s.categories[0].contract
-		for _, c := range s.categories {
-			least = min(least, c.contract)
+		if s.now >= s.spokeAt+Tenths(s.trip) {
+			s.allow()
 		}
-		room := s.pool * (1 + holdPart*max(0, float64(least)/max(s.trip, 1)-1))
-		if value = math.Max(1, math.Round(room/active)); leaving {
+		if value = math.Round(s.allowed*8) / 8; leaving {
 			value = 0
 		}
 	case Rank:
@@ -865,6 +872,24 @@
 	}
 }
 
+// allow moves what each caller may have out here towards what can be done in time: the pool, and before
+// it the part of the budgets that is to be filled. What lies unread counts, by the reads of late and their age.
+func (s *Server) allow() {
+	worth, run := 0.0, 0.0
+	for _, c := range s.categories {
+		n := c.asked / max(1, s.asked)
+		worth, run = worth+n*float64(c.contract), run+n*float64(max(1, c.runs.at(0.5)))
+	}
+	// The longer answers take, the less may wait: the room is that for the mean response, not for the run.
+	room := s.pool * (1 + holdPart*max(0, worth/max(1, s.trip, run)-1))
+	sum, squares := 0.0, 1e-9
+	for _, c := range s.callers {
+		sum, squares = sum+c.taken, squares+c.taken*c.taken
+	}
+	s.allowed = room * squares / max(sum*sum, 1e-9)
+	s.spokeAt, s.reads = s.now, 0
+}
+
 // wake asks for the next look: at the next last moment, or to read the gauges while work is in hand.
 func (s *Server) wake() {
 	next := Tenths(forever)
