--- a/admission/admission.go
+++ b/admission/admission.go
@@ -3,37 +3,36 @@
 // How other code calls this: New makes the Server of one app server. For each batch the host calls At once,
 // then Take for each work item read (which gives its handle), AtCall, CallEnded, RunEnded and Gone on those
 // handles, Leave and Woken on the Server, and last Decide once. All answers go out through the interface
-// Host (host.go), during any of these calls. Nothing here is safe for use by two goroutines at a time.
+// Host (host.go), during any of these calls. Not for use by two goroutines at a time.
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand"
 )
 
 const (
-	efficiency   = 0.75    // t_e: least share of added starts that must come out as answers
-	dropLimit    = 1.0     // t_d: drops for each start that shrink the pool
-	aggression   = 0.001   // alpha: step of the pool for each caller
-	firstTrip    = 1000    // round trip before any is measured: 100 ms
-	tripsAWindow = 4       // length of a window in round trips, the first of which is skipped
-	crowded      = 2.0     // with more than this on the cores for each core the pool gives way
-	idleCores    = 0.9     // below this use the cores read idle
-	budgetAt     = 0.99    // quantile of quiet runs that the queueing budget leaves room for
-	ticksAnAim   = 40      // gauges are read this often in the shortest contract time, while work is in hand
-	crowdPart    = 0.9     // part of the crowd that the server survives that may be on the cores
-	memoryPart   = 0.9     // part of the memory that work in hand may fill
-	rememberPart = 0.95    // part of the memory up to which stamps may be remembered
-	callsPart    = 0.8     // part of the share of calls in hand that is used
-	holdPart     = 0.25    // part of the waiting that budgets allow which callers are invited to fill
-	alike        = 0.01    // tries whose waits differ by less, as a share of the expiry, wait alike
-	bins         = 24      // bins of a histogram
-	binsAScale   = 16      // and how many of them make up its scale
-	few          = 8       // counts that say nothing yet
-	enough       = 256     // counts at which a histogram is halved
-	forever      = 1 << 60 // later than all times
-	untold       = -1      // a value never said
+	efficiency = 0.75     // t_e: least share of added starts that must come out as answers
+	dropLimit  = 1.0      // t_d: drops for each start that shrink the pool
+	aggression = 0.001    // alpha: step of the pool for each caller
+	firstTrip  = 1000     // round trip before any is measured: 100 ms
+	trips      = 4        // round trips a window, of which the first is skipped
+	budgetAt   = 0.99     // quantile of quiet runs that the queueing budget leaves room for
+	idleCores  = 0.9      // below this use the cores read idle
+	crowded    = 2.0      // with more than this on the cores for each core the pool gives way
+	lookPart   = 1.0 / 40 // gauges are read this often in the shortest contract time, while work is in hand
+	crowdPart  = 0.9      // part of the crowd the server survives that may be on the cores
+	workPart   = 0.9      // part of the memory up to which runs are begun and stamps are remembered
+	holdMemory = 0.95     // part of the memory up to which work items are held
+	callsPart  = 0.8      // part of the share of calls in hand that is used
+	invited    = 0.25     // part of the waiting that budgets allow which callers are invited to fill
+	alike      = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
+	smoothing  = 1.0 / 8  // weight of the newest in a running mean
+	few        = 8        // counts that say nothing yet
+	enough     = 256      // counts at which what is counted is halved
+	bins       = 24       // bins of a histogram
+	binsAScale = 16       // and how many of them make up its scale
+	forever    = 1 << 60  // later than all times
 )
 
 // spread is a histogram of times.
@@ -43,14 +42,17 @@
 	count [bins]float64
 }
 
+func spreadOver(scale Tenths) spread { return spread{width: max(1, scale/binsAScale)} }
+
 func (s *spread) add(t Tenths) {
 	s.count[max(0, min(int(t/s.width), bins-1))]++
-	if s.n++; s.n >= enough {
-		s.n = 0
-		for i := range s.count {
-			s.count[i] /= 2
-			s.n += s.count[i]
-		}
+	if s.n++; s.n < enough {
+		return
+	}
+	s.n = 0
+	for i := range s.count {
+		s.count[i] /= 2
+		s.n += s.count[i]
 	}
 }
 
@@ -66,7 +68,7 @@
 	return 0
 }
 
-// service counts how well a category or a tenant is served here.
+// service counts how well a category or a tenant is served here, and what serving it best is worth.
 type service struct{ asked, fulfilled, weight float64 }
 
 // stamp is an entry in the host's table of stamps.
@@ -86,10 +88,10 @@
 	stamps                   []*stamp // in the order in which they were entered
 }
 
-// tenant holds what its share still covers here.
+// tenant holds what its share still covers here: a bucket filled by its share, emptied by what comes.
 type tenant struct {
 	service
-	rate, room, most float64 // a bucket: filled by its share, emptied by what comes
+	rate, room, most float64
 	filled           Tenths
 }
 
@@ -105,7 +107,7 @@
 const (
 	held state = iota
 	running
-	standing // at a call, not made yet
+	standing // at a call that is not made
 	calling
 	sharing
 	over
@@ -118,21 +120,20 @@
 	category *category
 	tenant   *tenant
 	state    state
-	arrived  Tenths
+	arrived  Tenths // on the machine, not when read
 	contract Tenths // the end of its contract time
 	due      Tenths // it must have its answer by then
 	moment   Tenths // when to look at it next
-	began    Tenths // its run, then its call
+	place    int    // in the heap of moments, -1 outside
+	began    Tenths // its run
 	notYet   Tenths // a call is not made again before this
 	kb       float64
-	gain     float64
-	within   bool // within its tenant's share
-	ran      bool // its run was begun
-	answered bool
-	gone     bool
-	stamp    *stamp // its entry, where it owns one
+	stamp    *stamp // its entry in the table, where it owns one
+	within   bool   // its tenant's share
+	ran      bool   // its run was begun
 	quiet    bool   // the cores were not crowded when its run began
-	place    int    // in the heap of moments, -1 outside
+	answered bool
+	gone     bool // its caller
 }
 
 type moments []*WorkItem
@@ -158,171 +159,135 @@
 	categories []*category
 	tenants    []*tenant
 	callers    []*caller
-	owner      *tenant // stands in where a deployment has no tenants
 	asked      float64
 	meanGain   float64
 	worst      [2]*service // the category and the tenant served worst of late
+	lost       spread      // ages at which tries ended here without their answer
+
+	pool, step, cores float64
+	onCores           float64 // what wants a core, of late
+	relief            Tenths  // the pool may give way to a crowd again then
+	inPool, atCalls   int     // begun and not over; of these off the cores at a call
+	counts, end       Tenths  // of the window
+	cur, last         window
+	full              bool // the pool bound a start in this window
+	trip              float64
+
+	hold    []*WorkItem // oldest first; those not yet in moments have not passed the test on joining
+	stood   []*WorkItem // at a call that is not made yet
+	moments moments
 
-	// The pool and its experiment.
-	pool, step, cores   float64
-	onCores             float64 // what wants a core, of late
-	relief              Tenths  // the pool gives way to a crowd again from then on
-	inPool              int     // begun and not over, calls and disk included
-	atCalls             int     // of these, off the cores at a call
-	opened, counts, end Tenths
-	cur, last           window
-	trip                float64 // mean response time of late
-	full                bool
-	tick                Tenths
-	ticked              Tenths
-
-	hold, fresh []*WorkItem // oldest first
-	stood       []*WorkItem // at a call that is not made yet
-	moments     moments
-
-	// Guards.
 	memory, memoryMost, entryKb, runFactor float64
 	crowdMost, coldFrom                    float64
 	warmAt, coldFor                        Tenths
-	below                                  bool
-	callsMost, callsMean                   float64
+	below, stops                           bool
+	callsMost, callsMean                   float64 // calls in hand: the limit, and their mean over callsOver
 	callsIn                                int
 	callsAt, callsOver, linger             Tenths
-	lingering                              []Tenths
+	lingering                              []Tenths // ends of calls given up
 	callTook                               spread
-	lost                                   spread // ages at which tries ended here without their answer
-	stops, tellsLeft                       bool
-	margin                                 Tenths
-	notice, grace, stop                    Tenths // notice to leave; forever without one
-
-	// What callers are told.
-	tongue    Tongue
-	said      float64
-	saidAt    Tenths
-	heard     Tenths
-	maxAway   Tenths
-	overShare float64
-	allowed   float64 // work items that each caller may have out here
-	inHand    int     // work items taken and not over
-	reads     float64 // work items taken since spokeAt
-	unread    float64 // how long they lay unread, of late
-	spokeAt   Tenths
-	wakeAt    Tenths
-	ahead     Tenths
+	margin                                 Tenths // that answers are given ahead of their time
+	leaving                                bool
+	graceEnd, stop                         Tenths // the grace itself before the notice
+
+	tongue               Tongue
+	said, overShare      float64
+	look, maxAway, wakes Tenths
 }
 
 // New makes the Server of one app server that starts now.
 func New(d Deployment, host Host, now Tenths) *Server {
-	s := &Server{host: host, chance: rand.New(rand.NewSource(d.Seed)), now: now,
-		cores: float64(d.Cores), pool: float64(d.Cores), trip: firstTrip, runFactor: d.RunFactor,
-		memoryMost: d.Memory, entryKb: d.EntryKb, coldFrom: 1, crowdMost: d.Crowd, warmAt: now,
-		below: d.SharedBelow, callsMost: d.CallShare * callsPart, callsOver: max(1, d.CallsOver), callsAt: now,
-		linger: d.Linger, stops: d.Stops, tellsLeft: d.TellsLeft, margin: 2*d.Period + 1, notice: forever,
-		grace: d.Grace, stop: forever, tongue: d.Tongue, said: untold, heard: max(1, d.Heard),
-		maxAway: d.MaxAway, overShare: d.OverShare, wakeAt: forever, allowed: untold}
+	s := &Server{host: host, chance: rand.New(rand.NewSource(d.Seed)), now: now, cores: float64(d.Cores),
+		pool: float64(d.Cores), step: max(1, aggression*float64(d.Callers)), trip: firstTrip,
+		memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor, crowdMost: d.Crowd, coldFrom: 1,
+		below: d.SharedBelow, stops: d.Stops, callsMost: d.CallShare * callsPart, callsAt: now,
+		callsOver: max(1, d.CallsOver), linger: d.Linger, margin: 2*d.Period + 1, graceEnd: d.Grace - 2*d.Period,
+		stop: forever, tongue: d.Tongue, said: -1, overShare: d.OverShare, maxAway: d.MaxAway, wakes: forever}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, max(1, d.ColdFor), now+d.ColdFor
 	}
-	s.step = max(1, aggression*float64(d.Callers))
 	shortest, longest, whole := Tenths(forever), Tenths(1), max(d.WholeWeight, 1e-3)
 	for _, c := range d.Categories {
 		shortest, longest = min(shortest, c.Contract), max(longest, c.Expiry)
+		s.categories = append(s.categories, &category{service: service{weight: d.CategoryWeight / whole},
+			gain: c.Gain, lateShare: c.LateShare, contract: c.Contract, expiry: c.Expiry, window: c.Window,
+			effect: c.Effect, runs: spreadOver(c.Contract), quiet: spreadOver(c.Contract)})
 	}
-	for _, c := range d.Categories {
-		s.categories = append(s.categories, &category{gain: c.Gain, service: service{weight: d.ClassWeight / whole},
-			lateShare: c.LateShare, contract: c.Contract,
-			expiry: c.Expiry, window: c.Window, effect: c.Effect,
-			quiet: spread{width: max(1, c.Contract/binsAScale)}, runs: spread{width: max(1, c.Contract/binsAScale)}})
-	}
-	s.owner = &tenant{room: math.Inf(1), most: math.Inf(1)}
 	for _, t := range d.Tenants {
 		rate := t.Quota / float64(max(1, d.Servers)) / 1e4
 		most := max(1, rate*float64(longest))
-		s.tenants = append(s.tenants, &tenant{service: service{weight: d.OwnerWeight / whole}, rate: rate,
+		s.tenants = append(s.tenants, &tenant{service: service{weight: d.TenantWeight / whole}, rate: rate,
 			room: most, most: most, filled: now})
 	}
-	s.tick = max(1, shortest/ticksAnAim)
-	s.callTook.width = max(1, longest/binsAScale/2)
-	s.lost.width = s.callTook.width
-	s.openWindow()
-	if d.DeepChecks {
-		host.Health(true, true)
+	if len(s.tenants) == 0 {
+		s.tenants = []*tenant{{room: math.Inf(1), most: math.Inf(1)}}
 	}
+	s.look = max(1, Tenths(float64(shortest)*lookPart))
+	s.callTook, s.lost = spreadOver(longest/2), spreadOver(longest/2)
+	s.openWindow()
+	host.Health(true, true)
 	return s
 }
 
 // At opens a batch.
 func (s *Server) At(now Tenths) { s.now = max(s.now, now) }
 
-// Take takes a work item that has been read; it joins the hold at Decide.
+// Take takes a work item that has been read; what becomes of it is settled at Decide.
 func (s *Server) Take(a Arrival) *WorkItem {
 	w := &WorkItem{Door: a.Door, s: s, arrived: s.now - a.Unread, kb: a.HeldKb, place: -1}
 	w.category = s.categories[max(0, min(a.Category, len(s.categories)-1))]
-	w.tenant = s.owner
-	if a.Tenant >= 0 && a.Tenant < len(s.tenants) {
-		w.tenant = s.tenants[a.Tenant]
-	}
-	c := w.category
+	w.tenant = s.tenants[max(0, min(a.Tenant, len(s.tenants)-1))]
 	w.within = w.tenant.covers(s.now)
+	c := w.category
 	w.contract, w.due = w.arrived+c.contract, w.arrived+c.expiry
-	who := s.caller(a.Caller)
-	who.taken++
-	if s.tellsLeft && a.Left > 0 {
+	for a.Caller >= len(s.callers) {
+		s.callers = append(s.callers, &caller{})
+	}
+	who := s.callers[max(0, a.Caller)]
+	if a.Left > 0 {
 		w.due = s.now + a.Left
+	}
+	if waits := float64(a.Left+a.Unread) / float64(c.expiry); a.Left > 0 && who.odd(waits) {
 		// A caller's first tries all wait alike. One that does not is a later try, waits for what is left
 		// of the expiry, and its contract time began with the first: too late already, it is not run.
-		waits := float64(a.Left+a.Unread) / float64(c.expiry)
-		if who.usual(waits); who.votes > few && math.Abs(waits-who.waits) > alike {
-			w.contract -= Tenths((1 - min(1, waits)) * float64(c.expiry))
-		}
-	}
-	if a.Again && w.contract == w.arrived+c.contract {
+		w.contract -= Tenths((1 - min(1, waits)) * float64(c.expiry))
+	} else if a.Again {
 		// How old a marked try is, is not told: as old, most likely, as those become that end here unserved.
 		w.contract -= s.lost.at(0.5)
 	}
 	w.due = min(w.due, s.stop) - s.margin
 	s.memory += w.kb
-	s.inHand++
-	s.reads++
-	s.unread += (float64(a.Unread) - s.unread) / 16
 	c.asked++
 	w.tenant.asked++
+	who.taken++
 	if s.asked++; s.asked > enough {
 		s.halve()
 	}
-	if a.Repeats && c.effect == Stamped && s.repeat(w, a.Earlier) {
-		return w
+	if a.Repeats && c.effect == Stamped {
+		// One run at most comes of all tries of a stamp: a later one shares the answer of a run begun, or
+		// takes the place of a try still held, whose caller has mostly left.
+		if a.Earlier == nil || a.Earlier.state != held {
+			w.state, w.ran = sharing, true
+			s.watch(w, w.due)
+			s.host.Share(w)
+			return w
+		}
+		s.decline(a.Earlier, 0, false)
 	}
-	s.fresh = append(s.fresh, w)
+	s.hold = append(s.hold, w)
 	return w
 }
 
-// repeat deals with a try whose stamp is known, so that one run at most comes of all its tries: it shares
-// the answer of a run begun, or takes the place of a try still held, whose caller has mostly left.
-func (s *Server) repeat(w, earlier *WorkItem) bool {
-	if earlier != nil && earlier.state == held && !earlier.answered {
-		s.leaveHold(earlier)
-		s.decline(earlier, 0, false)
+// odd says whether a try waits unlike its caller's others of late; those are known by votes for and against.
+func (c *caller) odd(waits float64) bool {
+	if math.Abs(waits-c.waits) <= alike {
+		c.votes = min(c.votes+1, enough)
 		return false
 	}
-	w.state, w.ran = sharing, true
-	s.watch(w, w.due)
-	s.host.Share(w)
-	return true
-}
-
-// halve ages what is counted over all work items.
-func (s *Server) halve() {
-	s.asked /= 2
-	for _, c := range s.categories {
-		c.asked, c.fulfilled = c.asked/2, c.fulfilled/2
-	}
-	for _, t := range s.tenants {
-		t.asked, t.fulfilled = t.asked/2, t.fulfilled/2
-	}
-	for _, c := range s.callers {
-		c.taken /= 2
+	if c.votes--; c.votes < 0 {
+		c.waits, c.votes = waits, 1
 	}
+	return c.votes > few
 }
 
 // covers says whether one more work item is within the tenant's share, as far as one server can tell.
@@ -336,53 +301,48 @@
 	return true
 }
 
-// usual keeps what most tries of late wait, by votes for and against.
-func (c *caller) usual(waits float64) {
-	if math.Abs(waits-c.waits) <= alike {
-		c.votes = min(c.votes+1, enough)
-	} else if c.votes--; c.votes < 0 {
-		c.waits, c.votes = waits, 1
+// halve ages what is counted over all work items.
+func (s *Server) halve() {
+	s.asked /= 2
+	for _, c := range s.categories {
+		c.asked, c.fulfilled = c.asked/2, c.fulfilled/2
 	}
-}
-
-func (s *Server) caller(i int) *caller {
-	for i >= len(s.callers) {
-		s.callers = append(s.callers, &caller{})
+	for _, t := range s.tenants {
+		t.asked, t.fulfilled = t.asked/2, t.fulfilled/2
+	}
+	for _, c := range s.callers {
+		c.taken /= 2
 	}
-	return s.callers[max(0, i)]
 }
 
 // AtCall: the run can't go on without a call below.
 func (w *WorkItem) AtCall() {
-	if w.state != running {
-		return
+	if w.state == running {
+		w.state = standing
+		w.s.atCalls++
+		w.s.stood = append(w.s.stood, w)
 	}
-	w.state = standing
-	w.s.atCalls++
-	w.s.stood = append(w.s.stood, w)
 }
 
-// CallEnded: the call made for the work item ended.
+// CallEnded: the call made for the work item ended. It is made again where that does no harm.
 func (w *WorkItem) CallEnded(how Outcome, took Tenths) {
 	s := w.s
 	if w.state != calling {
 		return
 	}
 	s.callOver(how == Unknown)
-	if how == Well {
+	w.state = standing
+	switch {
+	case how == Well:
 		s.callTook.add(took)
 		s.atCalls--
 		w.state = running
-		return
-	}
-	w.state = standing
-	if how == Unseen {
-		w.notYet = s.now + max(s.tick, s.callTook.at(0.5)/2)
-	} else if how == Unknown || w.category.effect != Harmless {
+	case how == Unseen || how == Badly && w.category.effect == Harmless:
+		w.notYet = s.now + max(s.look, s.callTook.at(0.5)/2)
+		s.stood = append(s.stood, w)
+	default:
 		s.breakOff(w)
-		return
 	}
-	s.stood = append(s.stood, w)
 }
 
 // RunEnded: the run, or the answer shared, is over.
@@ -397,36 +357,27 @@
 	if w.state == standing || w.state == calling {
 		s.atCalls--
 	}
-	if how == Well {
-		s.fulfilled(w, took)
-	}
-	if !w.answered && !w.gone && (how == Cut || how == NeverBegun) {
-		s.breakOff(w)
-	}
-	s.finish(w)
-}
-
-// fulfilled counts an answer that went out. Only answers that somebody still waits for and that earn their
-// gain count as output of the pool: without this, runs for callers that left would credit waste.
-func (s *Server) fulfilled(w *WorkItem, took Tenths) {
-	if w.state != sharing {
+	if how == Well && w.state != sharing {
 		w.category.runs.add(took)
+		if w.quiet && s.onCores <= s.cores {
+			w.category.quiet.add(took)
+		}
 	}
-	if w.state != sharing && w.quiet && s.onCores <= s.cores {
-		w.category.quiet.add(took)
-	}
-	if w.answered || w.gone {
-		return
-	}
-	response := float64(s.now - w.arrived)
-	s.trip += (response - s.trip) / 16
-	if s.now <= w.contract {
-		w.category.fulfilled++
-		w.tenant.fulfilled++
-		if s.now >= s.counts {
+	if !w.answered && !w.gone {
+		if how == Cut || how == NeverBegun {
+			s.breakOff(w)
+		} else {
+			s.trip += (float64(s.now-w.arrived) - s.trip) * smoothing / 2
+		}
+		// Output of the pool is only what somebody waits for and what earns its gain: else runs for callers
+		// that left, or late ones, would speak for a larger pool.
+		if how == Well && s.now <= w.contract {
+			w.category.fulfilled++
+			w.tenant.fulfilled++
 			s.cur.out++
 		}
 	}
+	s.finish(w)
 }
 
 // Gone: nobody waits for the work item any more.
@@ -437,48 +388,41 @@
 	}
 	w.gone = true
 	s.lost.add(s.now - w.arrived)
-	switch w.state {
-	case held, sharing:
-		s.leaveHold(w)
+	if w.state == held || w.state == sharing {
 		s.finish(w)
-	case running:
-		if s.stops && w.category.effect == Harmless {
-			s.host.Stop(w)
-		}
+	} else if w.state == running && s.stops && w.category.effect == Harmless {
+		s.host.Stop(w)
 	}
 }
 
 // Leave is the notice that the process will be stopped after the time given.
 func (s *Server) Leave(in Tenths) {
-	if s.notice != forever {
+	if s.leaving {
 		return
 	}
-	s.notice, s.stop = s.now, s.now+in
-	for _, w := range s.moments {
+	s.leaving, s.stop, s.graceEnd = true, s.now+in, s.now+s.graceEnd
+	for _, w := range append(s.hold, s.moments...) {
 		w.due = min(w.due, s.stop-s.margin)
 		w.moment = min(w.moment, w.due)
 	}
-	for _, w := range s.fresh {
-		w.due = min(w.due, s.stop-s.margin)
-	}
 	heap.Init(&s.moments)
 	s.host.Health(false, true)
 }
 
 // Woken brings the gauges.
 func (s *Server) Woken(g Gauges) {
-	s.wakeAt = forever
-	s.ticked = s.now
-	// While cores read idle and work waits, the experiment is not needed to know that more can run.
-	if idle := s.cores - g.OnCores; idle >= 1 && g.CoreUse < idleCores && len(s.hold) > 0 && s.full {
+	s.wakes = forever
+	s.onCores += (g.OnCores - s.onCores) * smoothing
+	// While cores read idle and work waits, no experiment is needed to know that more can run.
+	if idle := s.cores - g.OnCores; idle >= 1 && g.CoreUse < idleCores && s.bound() && len(s.hold) > 0 {
 		s.pool += math.Floor(min(idle, float64(len(s.hold))))
 	}
-	// The other way round: what crowds the cores well past their number adds nothing. Once a round trip, since
-	// it takes that long to show. Guards against whatever makes runs pile up faster than windows can see: slow
-	// or shared cores, bursts back from the disk, a storm of reading.
-	s.onCores += (g.OnCores - s.onCores) / 8
-	if s.onCores > crowded*s.cores && s.now >= s.relief {
-		s.pool = max(s.cores, min(s.pool, float64(s.inPool))-math.Ceil(s.onCores-crowded*s.cores))
+	// The other way round: what crowds the cores well past their number adds nothing. Once a round trip, as
+	// it takes that long to show. Guards against whatever piles runs up faster than windows can see: slow
+	// or shared cores, runs back from the disk together, a storm of reading. Harms where runs mostly sleep
+	// in a way that the gauge takes for wanting a core.
+	if over := s.onCores - crowded*s.cores; over > 0 && s.now >= s.relief {
+		s.pool = max(s.cores, min(s.pool, float64(s.inPool))-math.Ceil(over))
 		s.relief = s.now + Tenths(s.trip)
 	}
 }
@@ -490,34 +434,30 @@
 	s.expireStamps()
 	s.lastMoments()
 	s.makeCalls()
-	fresh := s.fresh
-	s.fresh = nil
-	for _, w := range fresh {
-		if s.admissible(w) {
-			s.hold = append(s.hold, w)
+	for _, w := range append([]*WorkItem(nil), s.hold...) {
+		if w.place < 0 {
+			s.admit(w)
 		}
 	}
 	s.fill()
-	// The test on joining the hold, for those that could not start at once.
-	for i := len(s.hold) - 1; i >= 0; i-- {
-		w := s.hold[i]
+	for _, w := range append([]*WorkItem(nil), s.hold...) {
 		if w.place >= 0 {
 			continue
 		}
+		// The test on joining the hold, for those that could not start at once.
 		if queued := s.now - w.arrived + s.queueAhead(w); queued > w.budget() {
-			s.hold = append(s.hold[:i], s.hold[i+1:]...)
 			s.decline(w, queued, false)
-			continue
+		} else {
+			s.watch(w, w.giveUp())
 		}
-		s.watch(w, w.giveUp())
 	}
 	s.tell()
-	s.wake()
-}
-
-// budget is how long a work item may queue in all.
-func (w *WorkItem) budget() Tenths {
-	return max(0, w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt))
+	if len(s.moments) > 0 {
+		if at := max(s.now+1, min(s.moments[0].moment, s.now+s.look)); at < s.wakes {
+			s.wakes = at
+			s.host.Wake(at - s.now)
+		}
+	}
 }
 
 // worthUntil is the last moment at which an answer still earns something.
@@ -528,6 +468,11 @@
 	return min(w.due, w.contract)
 }
 
+// budget is how long a work item may queue in all.
+func (w *WorkItem) budget() Tenths {
+	return max(0, w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt))
+}
+
 // giveUp is the moment from which a held work item has no fair chance left; it is answered then, not later.
 func (w *WorkItem) giveUp() Tenths {
 	return max(w.s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(0.5)))
@@ -535,33 +480,17 @@
 
 // queueAhead reads the wait of the queue that would run before w: that of the oldest held there.
 func (s *Server) queueAhead(w *WorkItem) Tenths {
-	value := s.value(w)
 	for _, h := range s.hold {
-		if h != w && h.place >= 0 && s.value(h) >= value {
+		if h.place >= 0 && s.value(h) >= s.value(w) {
 			return s.now - h.arrived
 		}
 	}
 	return 0
 }
 
-// value is what a start of w is worth now, for the time that its runs take: the gain, in the proportion in
-// which the deployment weighs the whole, plus what the worst-served category or tenant adds.
-func (s *Server) value(w *WorkItem) float64 {
-	c := w.category
-	v := c.gain / max(s.meanGain, 1e-3)
-	if !w.within {
-		v *= s.overShare
-	}
-	v += c.bonus(s.worst[0], s.asked) + w.tenant.bonus(s.worst[1], s.asked)
-	if s.now+c.runs.at(0.5) > w.contract {
-		v *= c.lateShare
-	}
-	return v / float64(max(c.contract/binsAScale, c.runs.at(0.5)))
-}
-
 // weigh finds the category and the tenant served worst here of late, and the mean gain asked for.
 func (s *Server) weigh() {
-	s.worst, s.meanGain = [2]*service{}, 0
+	s.worst, s.meanGain = [2]*service{}, 1e-9
 	for _, c := range s.categories {
 		s.worst[0] = worse(s.worst[0], &c.service)
 		s.meanGain += c.gain * c.asked / max(1, s.asked)
@@ -586,110 +515,114 @@
 	return v.weight * asked / v.asked
 }
 
-// admissible answers at once what must not be held.
-func (s *Server) admissible(w *WorkItem) bool {
-	switch {
-	case w.state != held:
-		return false
-	case s.notice != forever && w.arrived >= s.notice+s.grace-s.margin: // came after the grace
-		s.decline(w, forever, false)
-	case s.memory > s.memoryMost*rememberPart: // no room to hold it
-		s.decline(w, s.tick, false)
-	case s.now+w.category.quiet.at(0.1) >= w.worthUntil(): // too late for everybody
-		s.decline(w, 0, true)
-	default:
-		if w.category.effect != Stamped {
-			return true
-		}
-		// Remembered before it can run; what can't be remembered must not run.
-		if s.memory+s.entryKb > s.memoryMost*memoryPart {
-			s.decline(w, s.tick, false)
-			return false
-		}
-		s.remember(w)
-		return true
+// value orders the hold: what a start now is worth, for the time that such runs take. The gain counts in
+// the proportion in which the deployment weighs the whole, and what the worst served add on top.
+func (s *Server) value(w *WorkItem) float64 {
+	c, run := w.category, w.category.runs.at(0.5)
+	v := c.gain / s.meanGain
+	if !w.within {
+		v *= s.overShare
+	}
+	v += c.bonus(s.worst[0], s.asked) + w.tenant.bonus(s.worst[1], s.asked)
+	if s.now+run > w.contract {
+		v *= c.lateShare
 	}
-	return false
+	return v / float64(max(c.runs.width, run))
 }
 
-// remember enters the stamp until the window from the arrival of this try has passed.
-func (s *Server) remember(w *WorkItem) {
-	span := w.arrived + w.category.window + s.margin - s.now
-	if span <= 0 {
-		return
+// admit answers at once what must not be held, and has stamps remembered before they can run.
+func (s *Server) admit(w *WorkItem) {
+	stamped := w.category.effect == Stamped
+	switch {
+	case s.leaving && w.arrived >= s.graceEnd: // came after the grace
+		s.decline(w, forever, false)
+	case s.now+w.category.quiet.at(0.1) >= w.worthUntil(): // too late anywhere
+		s.decline(w, 0, true)
+	case s.memory > s.memoryMost*holdMemory, stamped && s.memory+s.entryKb > s.memoryMost*workPart:
+		// No room to hold it, or to remember that it ran.
+		s.decline(w, s.look, false)
+	case stamped:
+		// Until the window from the arrival of this try has passed: repeats are matched by their arrival.
+		span := w.arrived + w.category.window + s.margin - s.now
+		w.stamp = &stamp{until: s.now + span, live: true}
+		w.category.stamps = append(w.category.stamps, w.stamp)
+		s.memory += s.entryKb
+		s.host.Remember(w, max(1, span))
 	}
-	w.stamp = &stamp{until: s.now + span, live: true}
-	w.category.stamps = append(w.category.stamps, w.stamp)
-	s.memory += s.entryKb
-	s.host.Remember(w, span)
 }
 
 // expireStamps frees the memory of entries whose time is up.
 func (s *Server) expireStamps() {
 	for _, c := range s.categories {
 		for len(c.stamps) > 0 && (c.stamps[0].until < s.now || !c.stamps[0].live) {
-			if c.stamps[0].live {
-				s.memory -= s.entryKb
-				c.stamps[0].live = false
-			}
+			s.free(c.stamps[0])
 			c.stamps = c.stamps[1:]
 		}
 	}
 }
 
-// fill starts held work items while the pool and the guards have room.
+func (s *Server) free(t *stamp) {
+	if t.live {
+		t.live = false
+		s.memory -= s.entryKb
+	}
+}
+
+// fill starts held work items, the most valuable first, while the pool and the guards have room.
 func (s *Server) fill() {
 	for len(s.hold) > 0 {
-		s.full = float64(s.inPool) >= math.Floor(s.pool)
-		if s.full || float64(s.inPool-s.atCalls) >= s.crowd()-1 {
+		if s.bound() {
+			s.full = true
 			return
 		}
-		best := -1
-		most := 0.0
-		for i, w := range s.hold {
-			if v := s.value(w); best < 0 || v > most {
-				best, most = i, v
+		best := s.hold[0]
+		for _, w := range s.hold[1:] {
+			if s.value(w) > s.value(best) {
+				best = w
 			}
 		}
-		w := s.hold[best]
-		if s.memory+w.kb*(s.runFactor-1) > s.memoryMost*memoryPart {
+		more := best.kb * (s.runFactor - 1)
+		if float64(s.inPool-s.atCalls) >= s.crowd()-1 || s.memory+more > s.memoryMost*workPart {
 			return
 		}
-		s.hold = append(s.hold[:best], s.hold[best+1:]...)
-		w.state, w.ran, w.began = running, true, s.now
-		s.memory += w.kb * (s.runFactor - 1)
+		s.leaveHold(best)
+		best.state, best.ran, best.began, best.quiet = running, true, s.now, s.onCores <= s.cores
+		s.memory += more
 		s.inPool++
-		w.quiet = s.onCores <= s.cores
-		if s.now >= s.counts {
-			s.cur.in++
-		}
-		s.watch(w, w.due)
-		s.host.Run(w)
+		s.cur.in++
+		s.watch(best, best.due)
+		s.host.Run(best)
 	}
 }
 
+// bound says whether the pool has no room for a start.
+func (s *Server) bound() bool { return float64(s.inPool) >= math.Floor(s.pool) }
+
 // crowd is how many work items may be on the cores: fewer while cold, by the line it warms up by at worst.
+// Those on the disk can all come back at once, so they count.
 func (s *Server) crowd() float64 {
 	speed := 1.0
 	if s.now < s.warmAt {
-		speed = s.coldFrom + (1-s.coldFrom)*(1-float64(s.warmAt-s.now)/float64(s.coldFor))
+		speed -= (1 - s.coldFrom) * float64(s.warmAt-s.now) / float64(s.coldFor)
 	}
 	return s.cores * (1 + (s.crowdMost-1)*speed) * crowdPart
 }
 
 func (s *Server) openWindow() {
-	s.opened = s.now
-	s.counts = s.now + Tenths(s.trip)
-	s.end = s.now + Tenths(tripsAWindow*s.trip)
+	s.counts, s.end = s.now+Tenths(s.trip), s.now+Tenths(trips*s.trip)
 	s.cur, s.full = window{}, false
 }
 
 // experiment moves the pool by what the last window brought, in equal steps up and down.
 func (s *Server) experiment() {
+	if s.counts > 0 && s.now >= s.counts {
+		s.cur, s.counts = window{}, 0 // the first round trip is skipped
+		s.end = max(s.end, s.now+1)
+	}
 	if s.now < s.end {
 		return
 	}
-	span := float64(s.now - s.counts)
+	span := (trips - 1) * s.trip
 	cur := window{s.cur.in / span, s.cur.out / span, s.cur.drops / span}
 	if s.full && cur.in > 0 {
 		more, gained := cur.in-s.last.in, cur.out-s.last.out
@@ -703,8 +636,6 @@
 		}
 	}
 	s.last = cur
-	s.host.Note(fmt.Sprintf("pool %.0f in %d calls %d hold %d trip %d said %.1f in %.1f out %.1f drops %.1f",
-		s.pool, s.inPool, s.atCalls, len(s.hold), int(s.trip/10), s.said, cur.in*1e4, cur.out*1e4, cur.drops*1e4))
 	s.openWindow()
 }
 
@@ -712,16 +643,15 @@
 func (s *Server) lastMoments() {
 	for len(s.moments) > 0 && s.moments[0].moment <= s.now {
 		w := heap.Pop(&s.moments).(*WorkItem)
-		switch {
-		case w.state == held:
-			s.leaveHold(w)
-			s.decline(w, s.tick, false)
-		case w.state != over && !w.answered && !w.gone:
-			stop := s.stops && w.state == running && w.category.effect == Harmless
-			s.breakOff(w)
-			if stop {
-				s.host.Stop(w)
-			}
+		if w.state == held {
+			s.cur.drops++
+			s.decline(w, s.look, false)
+			continue
+		}
+		stop := !w.answered && w.state == running && s.stops && w.category.effect == Harmless
+		s.breakOff(w)
+		if stop {
+			s.host.Stop(w)
 		}
 	}
 }
@@ -738,6 +668,7 @@
 		case w.notYet > s.now || !s.callRoom():
 			wait = append(wait, w)
 		default:
+			s.countCalls()
 			w.state = calling
 			s.callsIn++
 			s.host.Call(w, w.worthUntil())
@@ -746,23 +677,20 @@
 	s.stood = wait
 }
 
+// callRoom keeps the mean of calls in hand within the share; a share under one still lets some through.
 func (s *Server) callRoom() bool {
-	if !s.below {
-		return true
-	}
 	s.countCalls()
 	in := float64(s.callsIn + len(s.lingering))
-	return in+1 <= s.callsMost || in < 1 && s.callsMean < s.callsMost
+	return !s.below || in+1 <= s.callsMost || in < 1 && s.callsMean < s.callsMost
 }
 
-// countCalls keeps the mean of the calls in hand over the span that the dependency's limit is over.
 func (s *Server) countCalls() {
-	for len(s.lingering) > 0 && s.lingering[0] <= s.now {
-		s.lingering = s.lingering[1:]
-	}
 	part := min(1, float64(s.now-s.callsAt)/float64(s.callsOver))
 	s.callsMean += (float64(s.callsIn+len(s.lingering)) - s.callsMean) * part
 	s.callsAt = s.now
+	for len(s.lingering) > 0 && s.lingering[0] <= s.now {
+		s.lingering = s.lingering[1:]
+	}
 }
 
 func (s *Server) callOver(givenUp bool) {
@@ -793,15 +721,14 @@
 
 // decline answers a work item that never ran here.
 func (s *Server) decline(w *WorkItem, away Tenths, nowhereElse bool) {
-	if w.place >= 0 && s.now >= s.counts {
-		s.cur.drops++
+	if s.leaving {
+		away = forever
 	}
+	// Spread a little, so that those told to stay away do not come back together.
+	away = Tenths(float64(min(away, s.maxAway)) * (1 - s.chance.Float64()*smoothing))
 	w.answered = true
 	s.lost.add(s.now - w.arrived)
-	if s.notice != forever {
-		away = forever
-	}
-	s.host.Decline(w, min(away, s.maxAway), nowhereElse)
+	s.host.Decline(w, away, nowhereElse)
 	s.finish(w)
 }
 
@@ -810,10 +737,8 @@
 	if w.answered || w.gone {
 		return
 	}
-	if s.now >= s.counts {
-		s.cur.drops++
-	}
 	w.answered = true
+	s.cur.drops++
 	s.host.BreakOff(w)
 	if w.state == sharing {
 		s.finish(w)
@@ -824,80 +749,59 @@
 
 // finish takes the work item out of all books. Its stamp is forgotten only if it never ran.
 func (s *Server) finish(w *WorkItem) {
-	if w.state == over {
-		return
-	}
 	s.memory -= w.kb
-	s.inHand--
-	if w.ran && w.state != sharing {
+	switch {
+	case w.state == held:
+		s.leaveHold(w)
+		if w.stamp != nil && w.stamp.live {
+			s.free(w.stamp)
+			s.host.Forget(w)
+		}
+	case w.state != sharing:
 		s.inPool--
 		s.memory -= w.kb * (s.runFactor - 1)
 	}
-	if w.stamp != nil && w.stamp.live && !w.ran {
-		w.stamp.live = false
-		s.memory -= s.entryKb
-		s.host.Forget(w)
-	}
 	w.state = over
-	s.host.Over(w)
 	if w.place >= 0 {
 		heap.Remove(&s.moments, w.place)
 	}
+	s.host.Over(w)
 }
 
-// tell says how much more this server can take.
+// tell says how much more this server can take, in the tongue that callers understand.
 func (s *Server) tell() {
-	value := float64(untold)
-	leaving := s.notice != forever
+	var value float64
 	switch s.tongue {
+	case Mute:
+		return
 	case Allowed:
-		if s.now >= s.spokeAt+Tenths(s.trip) {
-			s.allow()
-		}
-		if value = math.Round(s.allowed*8) / 8; leaving {
-			value = 0
-		}
-	case Rank:
-		if value = 0; leaving {
-			value = 1
-		}
+		value = math.Round(s.allowed()*few) / few
 	case Odds:
-		if value = 1; leaving {
-			value = 0
+		value = 1
+	}
+	if s.leaving {
+		value = 0
+		if s.tongue == Rank {
+			value = 1
 		}
 	}
-	if value != s.said && value >= 0 {
+	if value != s.said {
 		s.said = value
 		s.host.Say(value)
 	}
 }
 
-// allow moves what each caller may have out here towards what can be done in time: the pool, and before
-// it the part of the budgets that is to be filled. What lies unread counts, by the reads of late and their age.
-func (s *Server) allow() {
-	worth, run := 0.0, 0.0
+// allowed is what each caller may have out here: an equal part, among those that are active, of the pool and
+// of the part of the budgets that is to be filled. The longer answers take, the less may wait.
+func (s *Server) allowed() float64 {
+	contract, run := 0.0, 1.0
 	for _, c := range s.categories {
-		n := c.asked / max(1, s.asked)
-		worth, run = worth+n*float64(c.contract), run+n*float64(max(1, c.runs.at(0.5)))
+		part := c.asked / max(1, s.asked)
+		contract, run = contract+part*float64(c.contract), run+part*float64(c.runs.at(0.5))
 	}
-	// The longer answers take, the less may wait: the room is that for the mean response, not for the run.
-	room := s.pool * (1 + holdPart*max(0, worth/max(1, s.trip, run)-1))
-	sum, squares := 0.0, 1e-9
+	sum, squares := 1e-9, 1e-9
 	for _, c := range s.callers {
 		sum, squares = sum+c.taken, squares+c.taken*c.taken
 	}
-	s.allowed = room * squares / max(sum*sum, 1e-9)
-	s.spokeAt, s.reads = s.now, 0
-}
-
-// wake asks for the next look: at the next last moment, or to read the gauges while work is in hand.
-func (s *Server) wake() {
-	next := Tenths(forever)
-	if len(s.moments) > 0 {
-		next = max(s.now+1, min(s.moments[0].moment, s.now+s.tick))
-	}
-	if next < s.wakeAt {
-		s.wakeAt = next
-		s.host.Wake(next - s.now)
-	}
+	return s.pool * (1 + invited*max(0, contract/max(s.trip, run)-1)) * min(1, squares/sum/sum)
 }
--- a/admission/host.go
+++ b/admission/host.go
@@ -43,7 +43,6 @@
 	Expiry    Tenths
 	Window    Tenths // how long a stamped work item may come again
 	Effect    Effect
-	Calls     bool // may call below
 }
 
 // Tenant is what a deployment says of one of those who share it.
@@ -64,31 +63,25 @@
 	RunFactor  float64 // memory of a running work item over that of a held one
 	EntryKb    float64 // memory of a remembered stamp
 	Period     Tenths  // batches come at most this often
-	Slack      Tenths  // an answer may be this late
 	Grace      Tenths  // what comes later than this after the notice to leave is not run
 
-	Cold      bool
-	ColdFrom  float64 // share of its speed that a cold server starts at
-	ColdFor   Tenths  // it is warm after this
-	Crowd     float64 // running work items for each core that a warm server survives
-	CrowdOver Tenths  // in the mean of this span
+	Cold     bool
+	ColdFrom float64 // share of its speed that a cold server starts at
+	ColdFor  Tenths  // it is warm after this
+	Crowd    float64 // running work items for each core that a warm server survives
 
 	SharedBelow bool    // one dependency for the whole fleet
 	CallShare   float64 // this server's part of the calls in hand that it survives
 	CallsOver   Tenths  // in the mean of this span
 	Linger      Tenths  // a call given up stays in its hands for this long
 
-	Tongue      Tongue
-	Heard       Tenths // callers remember the value for this long
-	MaxAway     Tenths // the longest time to stay away that callers heed; 0 where advice is not passed on
-	Stops       bool   // running work can be stopped, its progress is lost
-	TellsLeft   bool   // work items say how long their caller waits
-	HealthList  bool   // the list of servers follows the health answer
-	DeepChecks  bool   // health checks do real work unless answered from store
-	WholeWeight float64
-	ClassWeight float64 // weight of the worst-served category
-	OwnerWeight float64 // weight of the worst-served tenant
-	OverShare   float64 // what a work item beyond its tenant's share is worth
+	Tongue         Tongue
+	MaxAway        Tenths // the longest time to stay away that callers heed; 0 where advice is not passed on
+	Stops          bool   // running work can be stopped, its progress is lost
+	WholeWeight    float64
+	CategoryWeight float64 // weight of the worst-served category
+	TenantWeight   float64 // weight of the worst-served tenant
+	OverShare      float64 // what a work item beyond its tenant's share is worth
 }
 
 // Arrival is what a work item says of itself when it has been read.
@@ -126,8 +119,6 @@
 	Forget(w *WorkItem)
 	Say(value float64)
 	Health(good, fromStore bool)
-	CloseIdle(after Tenths)
 	Wake(after Tenths)
-	Note(text string)
 	Over(w *WorkItem) // the handle is of no more use
 }
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -22,12 +22,11 @@
 			Window                              float64
 		}
 		FamilyInfo struct {
-			CallShare, CallsOver, EntryKb, HeardFor, Linger, MemoryKb, RunFactor float64
-			Callers, Cores                                                       int
-			ClassCalls, ClassSkipWorth                                           any
-			Cold, DeepChecks, ListFollows, PassesDeadline                        bool
-			Downstream, Halt, Say                                                string
-			Meters                                                               []string
+			CallShare, CallsOver, EntryKb, Linger, MemoryKb, RunFactor float64
+			Callers, Cores                                             int
+			Cold                                                       bool
+			Downstream, Halt, Say                                      string
+			Meters                                                     []string
 		}
 		Limits struct {
 			MaxRetryAfter float64
@@ -35,7 +34,7 @@
 		}
 		OverShareWorth, Period float64
 		Rules                  struct {
-			AnswerSlack, Cold, ColdFrom, DrainGrace, Fall, TipMultiple float64
+			Cold, ColdFrom, DrainGrace, TipMultiple float64
 		}
 		Servers int
 		Tenants []struct{ QuotaPerS, Share float64 }
@@ -61,13 +60,12 @@
 	}
 	d := admission.Deployment{Seed: seed, Servers: env.Servers, Callers: info.Callers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: up(env.Period),
-		Slack: down(rules.AnswerSlack), Grace: down(rules.DrainGrace), Cold: info.Cold,
+		Grace: down(rules.DrainGrace), Cold: info.Cold,
 		ColdFrom: rules.ColdFrom, ColdFor: up(rules.Cold), Crowd: rules.TipMultiple,
-		CrowdOver: down(rules.Fall), SharedBelow: info.Downstream == "common", CallShare: info.CallShare,
+		SharedBelow: info.Downstream == "common", CallShare: info.CallShare,
 		CallsOver: down(info.CallsOver), Linger: up(info.Linger), Tongue: tongues[info.Say],
-		Heard: down(info.HeardFor), Stops: info.Halt == "drop", TellsLeft: info.PassesDeadline,
-		HealthList: info.ListFollows, DeepChecks: info.DeepChecks, WholeWeight: env.Blend.Whole,
-		ClassWeight: env.Blend.WorstClass, OwnerWeight: env.Blend.WorstTenant, OverShare: env.OverShareWorth}
+		Stops: info.Halt == "drop", WholeWeight: env.Blend.Whole,
+		CategoryWeight: env.Blend.WorstClass, TenantWeight: env.Blend.WorstTenant, OverShare: env.OverShareWorth}
 	if env.Limits.RetryAfter {
 		d.MaxAway = down(env.Limits.MaxRetryAfter)
 	}
@@ -160,16 +158,8 @@
 	fmt.Fprintf(&h.out, "MARK_HEALTH Cheap=%d Want=%d\n", cheap, want)
 }
 
-func (h *host) CloseIdle(after admission.Tenths) {
-	h.out.WriteString("IDLE")
-	h.span("HoldFor", after)
-	h.end()
-}
-
 func (h *host) Wake(after admission.Tenths) {
 	h.out.WriteString("WAKE_AT")
 	h.span("SleepFor", after)
 	h.out.WriteString(" Token=look\n")
 }
-
-func (h *host) Note(text string) { fmt.Fprintf(&h.out, "NOTE_DOWN Message=%s\n", text) }
