--- /dev/null
+++ b/admission/scenario_test.go
@@ -0,0 +1,261 @@
+package admission
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A scenario in testdata is played line by line; README.md there has the notation.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { play(t, file) })
+	}
+}
+
+// stage is the host that a scenario's server talks to: it notes what it is told to do.
+type stage struct {
+	*require.Assertions
+	server     *Server
+	now        Tenths
+	deployment Deployment
+	items      map[string]*WorkItem
+	names      map[uint64]string
+	done, says []string
+	wakes      []Tenths
+}
+
+func play(t *testing.T, file string) {
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer f.Close()
+	s := &stage{Assertions: require.New(t), items: map[string]*WorkItem{}, names: map[uint64]string{}}
+	s.deployment = Deployment{Servers: 1, Callers: 1, Cores: 2, Memory: 1e6, RunFactor: 4, EntryKb: 1,
+		Period: 10, Grace: 1000, Crowd: 8, CallsOver: 5000, MaxAway: 10000, WholeWeight: 1, Tongue: Allowed}
+	open, checked := false, true
+	in := bufio.NewScanner(f)
+	for n := 1; in.Scan(); n++ {
+		line, _, _ := strings.Cut(in.Text(), "#")
+		word := strings.Fields(line)
+		if len(word) == 0 {
+			continue
+		}
+		where := fmt.Sprintf("%s:%d %s", file, n, strings.TrimSpace(line))
+		switch word[0] {
+		case "=>": // closes the batch
+			if open {
+				s.server.Decide()
+			}
+			open, checked = false, true
+			s.Equal(strings.Join(word[1:], " "), strings.Join(s.done, " "), where)
+			s.done = nil
+		case "said":
+			s.NotEmpty(s.says, where)
+			s.Equal(word[1], s.says[len(s.says)-1], where)
+		case "at":
+			s.True(checked, "no => before %s", where)
+			s.now = s.tenths(word[1], where)
+			if s.server == nil {
+				s.server = New(s.deployment, s, s.now)
+			}
+			s.server.At(s.now)
+			open, checked = true, false
+		case "until": // plays all wakes due by then, with the gauges given
+			s.True(checked, "no => before %s", where)
+			s.until(s.tenths(word[1], where), s.fields(word[2:], where))
+			checked = false
+		default:
+			s.step(word, where)
+		}
+	}
+	s.True(checked, "%s ends without =>", file)
+}
+
+func (s *stage) until(end Tenths, f map[string]float64) {
+	if len(f) == 0 { // the cores are busy and not crowded
+		f = map[string]float64{"use": 1, "cores": s.server.cores}
+	}
+	for len(s.wakes) > 0 && s.wakes[0] <= end {
+		s.now, s.wakes = s.wakes[0], s.wakes[1:]
+		s.server.At(s.now)
+		s.server.Woken(Gauges{CoreUse: f["use"], OnCores: f["cores"]})
+		s.server.Decide()
+	}
+	s.now = end
+}
+
+func (s *stage) step(word []string, where string) {
+	d := &s.deployment
+	switch word[0] {
+	case "server":
+		f := s.fields(word[1:], where)
+		for key, v := range f {
+			switch key {
+			case "cores":
+				d.Cores = int(v)
+			case "memory":
+				d.Memory = v
+			case "entry":
+				d.EntryKb = v
+			case "stops":
+				d.Stops = v == 1
+			case "share":
+				d.SharedBelow, d.CallShare = true, v
+			case "linger":
+				d.Linger = Tenths(v * 10)
+			case "coldfrom":
+				d.Cold, d.ColdFrom = true, v
+			case "coldfor":
+				d.ColdFor = Tenths(v * 10)
+			case "crowd":
+				d.Crowd = v
+			case "tongue":
+				d.Tongue = Tongue(v)
+			case "worst":
+				d.CategoryWeight = v
+			case "over":
+				d.OverShare = v
+			default:
+				s.Fail("unknown field", where)
+			}
+		}
+	case "category":
+		f := s.fields(word[2:], where)
+		effect := map[string]Effect{"harmless": Harmless, "stamped": Stamped, "oneshot": OneShot}
+		s.Contains(effect, word[1], where)
+		d.Categories = append(d.Categories, Category{Gain: f["gain"], LateShare: f["late"],
+			Contract: Tenths(f["contract"] * 10), Expiry: Tenths(f["expiry"] * 10),
+			Window: Tenths(f["window"] * 10), Effect: effect[word[1]]})
+	case "tenant":
+		f := s.fields(word[1:], where)
+		d.Tenants = append(d.Tenants, Tenant{Share: f["share"], Quota: f["quota"]})
+	case "take":
+		s.take(word[1], word[2:], where)
+	case "leave":
+		s.server.Leave(s.tenths(word[1], where))
+	case "woken":
+		f := s.fields(word[1:], where)
+		s.server.Woken(Gauges{CoreUse: f["use"], OnCores: f["cores"]})
+	default:
+		w := s.items[word[1]]
+		s.NotNil(w, where)
+		outcome := map[string]Outcome{"well": Well, "badly": Badly, "unseen": Unseen, "unknown": Unknown,
+			"cut": Cut, "neverbegun": NeverBegun}
+		switch word[0] {
+		case "gone":
+			w.Gone()
+		case "atcall":
+			w.AtCall()
+		case "called":
+			s.Contains(outcome, word[2], where)
+			w.CallEnded(outcome[word[2]], s.tenths(word[3], where))
+		case "ended":
+			s.Contains(outcome, word[2], where)
+			w.RunEnded(outcome[word[2]], s.tenths(word[3], where))
+		default:
+			s.Fail("unknown line", where)
+		}
+	}
+}
+
+// take name... takes work items; several names may be given as a1-9.
+func (s *stage) take(name string, rest []string, where string) {
+	names := []string{name}
+	if stem, last, many := strings.Cut(name, "1-"); many {
+		n, err := strconv.Atoi(last)
+		s.NoError(err, where)
+		names = nil
+		for i := 1; i <= n; i++ {
+			names = append(names, stem+strconv.Itoa(i))
+		}
+	}
+	a := Arrival{HeldKb: 1}
+	var fields []string
+	for _, r := range rest {
+		if earlier, is := strings.CutPrefix(r, "repeats="); is {
+			a.Repeats, a.Earlier = true, s.items[earlier]
+		} else {
+			fields = append(fields, r)
+		}
+	}
+	for key, v := range s.fields(fields, where) {
+		switch key {
+		case "category":
+			a.Category = int(v)
+		case "tenant":
+			a.Tenant = int(v)
+		case "caller":
+			a.Caller = int(v)
+		case "left":
+			a.Left = Tenths(v * 10)
+		case "unread":
+			a.Unread = Tenths(v * 10)
+		case "kb":
+			a.HeldKb = v
+		case "again":
+			a.Again = v == 1
+		default:
+			s.Fail("unknown field", where)
+		}
+	}
+	for _, name := range names {
+		a.Door = uint64(len(s.names) + 1)
+		s.names[a.Door] = name
+		s.items[name] = s.server.Take(a)
+	}
+}
+
+func (s *stage) tenths(ms, where string) Tenths {
+	v, err := strconv.ParseFloat(ms, 64)
+	s.NoError(err, where)
+	return Tenths(v * 10)
+}
+
+func (s *stage) fields(words []string, where string) map[string]float64 {
+	f := map[string]float64{}
+	for _, w := range words {
+		key, text, _ := strings.Cut(w, "=")
+		v, err := strconv.ParseFloat(text, 64)
+		s.NoError(err, where)
+		f[key] = v
+	}
+	return f
+}
+
+func (s *stage) note(what string, w *WorkItem) { s.done = append(s.done, what+":"+s.names[w.Door]) }
+
+func (s *stage) Run(w *WorkItem)                { s.note("run", w) }
+func (s *stage) Share(w *WorkItem)              { s.note("share", w) }
+func (s *stage) BreakOff(w *WorkItem)           { s.note("breakoff", w) }
+func (s *stage) Stop(w *WorkItem)               { s.note("stop", w) }
+func (s *stage) Call(w *WorkItem, _ Tenths)     { s.note("call", w) }
+func (s *stage) Remember(w *WorkItem, _ Tenths) { s.note("remember", w) }
+func (s *stage) Forget(w *WorkItem)             { s.note("forget", w) }
+func (s *stage) Decline(w *WorkItem, _ Tenths, nowhereElse bool) {
+	if nowhereElse {
+		s.note("declinelast", w)
+	} else {
+		s.note("decline", w)
+	}
+}
+func (s *stage) Over(*WorkItem) {}
+func (s *stage) Health(good, _ bool) {
+	if !good {
+		s.done = append(s.done, "unhealthy")
+	}
+}
+func (s *stage) Say(v float64) { s.says = append(s.says, strconv.FormatFloat(v, 'f', -1, 64)) }
+func (s *stage) Wake(after Tenths) {
+	s.wakes = append(s.wakes, s.now+after)
+	sort.Slice(s.wakes, func(i, j int) bool { return s.wakes[i] < s.wakes[j] })
+}
