--- a/admission/admission.go
+++ b/admission/admission.go
@@ -68,24 +68,17 @@
 	return 0
 }
 
-// service counts how well a category or a tenant is served here, and what serving it best is worth.
-type service struct{ asked, fulfilled, weight float64 }
-
-// stamp is an entry in the host's table of stamps.
-type stamp struct {
-	until Tenths
-	live  bool
-}
+// service counts how well a category or a tenant is served here; weight is that of the worst served.
+type service struct{ asked, fulfilled, weight, gain float64 }
 
 // category is what decisions need of one kind of work item.
 type category struct {
 	service
-	gain, lateShare          float64
+	lateShare                float64
 	contract, expiry, window Tenths
 	effect                   Effect
-	runs                     spread   // times of all runs, those broken off as long as they had run
-	quiet                    spread   // times of runs that the cores were not crowded during
-	stamps                   []*stamp // in the order in which they were entered
+	runs                     spread // times of all runs, those broken off as long as they had run
+	quiet                    spread // times of runs that the cores were not crowded during
 }
 
 // tenant holds what its share still covers here: a bucket filled by its share, emptied by what comes.
@@ -128,7 +121,7 @@
 	began    Tenths // its run
 	notYet   Tenths // a call is not made again before this
 	kb       float64
-	stamp    *stamp // its entry in the table, where it owns one
+	stamped  Tenths // until when it owns an entry in the table of stamps, 0 where it does not
 	within   bool   // its tenant's share
 	ran      bool   // its run was begun
 	quiet    bool   // the cores were not crowded when its run began
@@ -159,10 +152,11 @@
 	categories []*category
 	tenants    []*tenant
 	callers    []*caller
+	services   [2][]*service // of the categories and of the tenants
+	worst      [2]*service   // of these, the ones served worst of late
 	asked      float64
 	meanGain   float64
-	worst      [2]*service // the category and the tenant served worst of late
-	lost       spread      // ages at which tries ended here without their answer
+	lost       spread // ages at which tries ended here without their answer
 
 	pool, step, cores float64
 	onCores           float64 // what wants a core, of late
@@ -209,15 +203,17 @@
 	shortest, longest, whole := Tenths(forever), Tenths(1), max(d.WholeWeight, 1e-3)
 	for _, c := range d.Categories {
 		shortest, longest = min(shortest, c.Contract), max(longest, c.Expiry)
-		s.categories = append(s.categories, &category{service: service{weight: d.CategoryWeight / whole},
-			gain: c.Gain, lateShare: c.LateShare, contract: c.Contract, expiry: c.Expiry, window: c.Window,
+		s.categories = append(s.categories, &category{service: service{gain: c.Gain, weight: d.CategoryWeight / whole},
+			lateShare: c.LateShare, contract: c.Contract, expiry: c.Expiry, window: c.Window,
 			effect: c.Effect, runs: spreadOver(c.Contract), quiet: spreadOver(c.Contract)})
+		s.services[0] = append(s.services[0], &s.categories[len(s.categories)-1].service)
 	}
 	for _, t := range d.Tenants {
 		rate := t.Quota / float64(max(1, d.Servers)) / 1e4
 		most := max(1, rate*float64(longest))
 		s.tenants = append(s.tenants, &tenant{service: service{weight: d.TenantWeight / whole}, rate: rate,
 			room: most, most: most, filled: now})
+		s.services[1] = append(s.services[1], &s.tenants[len(s.tenants)-1].service)
 	}
 	if len(s.tenants) == 0 {
 		s.tenants = []*tenant{{room: math.Inf(1), most: math.Inf(1)}}
@@ -260,9 +256,8 @@
 	c.asked++
 	w.tenant.asked++
 	who.taken++
-	if s.asked++; s.asked > enough {
-		s.halve()
-	}
+	s.asked++
+	s.age()
 	if a.Repeats && c.effect == Stamped {
 		// One run at most comes of all tries of a stamp: a later one shares the answer of a run begun, or
 		// takes the place of a try still held, whose caller has mostly left.
@@ -301,20 +296,6 @@
 	return true
 }
 
-// halve ages what is counted over all work items.
-func (s *Server) halve() {
-	s.asked /= 2
-	for _, c := range s.categories {
-		c.asked, c.fulfilled = c.asked/2, c.fulfilled/2
-	}
-	for _, t := range s.tenants {
-		t.asked, t.fulfilled = t.asked/2, t.fulfilled/2
-	}
-	for _, c := range s.callers {
-		c.taken /= 2
-	}
-}
-
 // AtCall: the run can't go on without a call below.
 func (w *WorkItem) AtCall() {
 	if w.state == running {
@@ -402,8 +383,9 @@
 	}
 	s.leaving, s.stop, s.graceEnd = true, s.now+in, s.now+s.graceEnd
 	for _, w := range append(s.hold, s.moments...) {
-		w.due = min(w.due, s.stop-s.margin)
-		w.moment = min(w.moment, w.due)
+		if w.due = min(w.due, s.stop-s.margin); w.state != over {
+			w.moment = min(w.moment, w.due)
+		}
 	}
 	heap.Init(&s.moments)
 	s.host.Health(false, true)
@@ -431,7 +413,6 @@
 func (s *Server) Decide() {
 	s.experiment()
 	s.weigh()
-	s.expireStamps()
 	s.lastMoments()
 	s.makeCalls()
 	for _, w := range append([]*WorkItem(nil), s.hold...) {
@@ -452,11 +433,16 @@
 		}
 	}
 	s.tell()
+	next := Tenths(forever)
 	if len(s.moments) > 0 {
-		if at := max(s.now+1, min(s.moments[0].moment, s.now+s.look)); at < s.wakes {
-			s.wakes = at
-			s.host.Wake(at - s.now)
-		}
+		next = max(s.now+1, s.moments[0].moment)
+	}
+	if len(s.hold) > 0 || s.inPool > 0 {
+		next = min(next, s.now+s.look)
+	}
+	if next < s.wakes {
+		s.wakes = next
+		s.host.Wake(next - s.now)
 	}
 }
 
@@ -490,21 +476,30 @@
 
 // weigh finds the category and the tenant served worst here of late, and the mean gain asked for.
 func (s *Server) weigh() {
-	s.worst, s.meanGain = [2]*service{}, 1e-9
-	for _, c := range s.categories {
-		s.worst[0] = worse(s.worst[0], &c.service)
-		s.meanGain += c.gain * c.asked / max(1, s.asked)
-	}
-	for _, t := range s.tenants {
-		s.worst[1] = worse(s.worst[1], &t.service)
+	s.meanGain = 1e-9
+	for i, group := range s.services {
+		s.worst[i] = nil
+		for _, v := range group {
+			s.meanGain += v.gain * v.asked / max(1, s.asked)
+			if w := s.worst[i]; v.asked >= few && (w == nil || v.fulfilled*w.asked < w.fulfilled*v.asked) {
+				s.worst[i] = v
+			}
+		}
 	}
 }
 
-func worse(a, b *service) *service {
-	if b.asked >= few && (a == nil || b.fulfilled*a.asked < a.fulfilled*b.asked) {
-		return b
+// age halves what is counted over all work items.
+func (s *Server) age() {
+	if s.asked < enough {
+		return
+	}
+	s.asked /= 2
+	for _, v := range append(s.services[0], s.services[1]...) {
+		v.asked, v.fulfilled = v.asked/2, v.fulfilled/2
+	}
+	for _, c := range s.callers {
+		c.taken /= 2
 	}
-	return a
 }
 
 // bonus is what one answer more adds to the part of the goal that goes by the worst served.
@@ -543,28 +538,9 @@
 		s.decline(w, s.look, false)
 	case stamped:
 		// Until the window from the arrival of this try has passed: repeats are matched by their arrival.
-		span := w.arrived + w.category.window + s.margin - s.now
-		w.stamp = &stamp{until: s.now + span, live: true}
-		w.category.stamps = append(w.category.stamps, w.stamp)
+		w.stamped = max(s.now+1, w.arrived+w.category.window+s.margin)
 		s.memory += s.entryKb
-		s.host.Remember(w, max(1, span))
-	}
-}
-
-// expireStamps frees the memory of entries whose time is up.
-func (s *Server) expireStamps() {
-	for _, c := range s.categories {
-		for len(c.stamps) > 0 && (c.stamps[0].until < s.now || !c.stamps[0].live) {
-			s.free(c.stamps[0])
-			c.stamps = c.stamps[1:]
-		}
-	}
-}
-
-func (s *Server) free(t *stamp) {
-	if t.live {
-		t.live = false
-		s.memory -= s.entryKb
+		s.host.Remember(w, w.stamped-s.now)
 	}
 }
 
@@ -643,6 +619,10 @@
 func (s *Server) lastMoments() {
 	for len(s.moments) > 0 && s.moments[0].moment <= s.now {
 		w := heap.Pop(&s.moments).(*WorkItem)
+		if w.state == over {
+			s.memory -= s.entryKb
+			continue
+		}
 		if w.state == held {
 			s.cur.drops++
 			s.decline(w, s.look, false)
@@ -753,19 +733,21 @@
 	switch {
 	case w.state == held:
 		s.leaveHold(w)
-		if w.stamp != nil && w.stamp.live {
-			s.free(w.stamp)
+		if w.stamped > s.now {
 			s.host.Forget(w)
+			w.stamped = s.now
 		}
 	case w.state != sharing:
 		s.inPool--
 		s.memory -= w.kb * (s.runFactor - 1)
 	}
 	w.state = over
-	if w.place >= 0 {
+	s.host.Over(w)
+	if w.stamped > 0 {
+		s.watch(w, w.stamped) // the memory of its entry
+	} else if w.place >= 0 {
 		heap.Remove(&s.moments, w.place)
 	}
-	s.host.Over(w)
 }
 
 // tell says how much more this server can take, in the tongue that callers understand.
