--- a/admission/admission.go
+++ b/admission/admission.go
@@ -81,13 +81,6 @@
 	quiet                    spread // times of runs that the cores were not crowded during
 }
 
-// tenant holds what its share still covers here: a bucket filled by its share, emptied by what comes.
-type tenant struct {
-	service
-	rate, room, most float64
-	filled           Tenths
-}
-
 // caller is what is known of one caller of this server.
 type caller struct {
 	taken float64 // work items of late
@@ -111,7 +104,7 @@
 	Door     uint64 // the host's own mark
 	s        *Server
 	category *category
-	tenant   *tenant
+	tenant   *service
 	state    state
 	arrived  Tenths // on the machine, not when read
 	contract Tenths // the end of its contract time
@@ -119,11 +112,9 @@
 	moment   Tenths // when to look at it next
 	place    int    // in the heap of moments, -1 outside
 	began    Tenths // its run
-	notYet   Tenths // a call is not made again before this
+	notYet   Tenths // a call is not made again before this; once made, when
 	kb       float64
 	stamped  Tenths // until when it owns an entry in the table of stamps, 0 where it does not
-	within   bool   // its tenant's share
-	ran      bool   // its run was begun
 	quiet    bool   // the cores were not crowded when its run began
 	answered bool
 	gone     bool // its caller
@@ -150,7 +141,6 @@
 	chance     *rand.Rand
 	now        Tenths
 	categories []*category
-	tenants    []*tenant
 	callers    []*caller
 	services   [2][]*service // of the categories and of the tenants
 	worst      [2]*service   // of these, the ones served worst of late
@@ -175,9 +165,9 @@
 	crowdMost, coldFrom                    float64
 	warmAt, coldFor                        Tenths
 	below, stops                           bool
-	callsMost, callsMean                   float64 // calls in hand: the limit, and their mean over callsOver
+	callsMost                              float64 // in hand
 	callsIn                                int
-	callsAt, callsOver, linger             Tenths
+	callsRest, linger                      Tenths
 	lingering                              []Tenths // ends of calls given up
 	callTook                               spread
 	margin                                 Tenths // that answers are given ahead of their time
@@ -185,7 +175,7 @@
 	graceEnd, stop                         Tenths // the grace itself before the notice
 
 	tongue               Tongue
-	said, overShare      float64
+	said                 float64
 	look, maxAway, wakes Tenths
 }
 
@@ -194,9 +184,9 @@
 	s := &Server{host: host, chance: rand.New(rand.NewSource(d.Seed)), now: now, cores: float64(d.Cores),
 		pool: float64(d.Cores), step: max(1, aggression*float64(d.Callers)), trip: firstTrip,
 		memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor, crowdMost: d.Crowd, coldFrom: 1,
-		below: d.SharedBelow, stops: d.Stops, callsMost: d.CallShare * callsPart, callsAt: now,
-		callsOver: max(1, d.CallsOver), linger: d.Linger, margin: 2*d.Period + 1, graceEnd: d.Grace - 2*d.Period,
-		stop: forever, tongue: d.Tongue, said: -1, overShare: d.OverShare, maxAway: d.MaxAway, wakes: forever}
+		below: d.SharedBelow, stops: d.Stops, callsMost: d.CallShare * callsPart,
+		linger: d.Linger, margin: 2*d.Period + 1, graceEnd: d.Grace - 2*d.Period,
+		stop: forever, tongue: d.Tongue, said: -1, maxAway: d.MaxAway, wakes: forever}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, max(1, d.ColdFor), now+d.ColdFor
 	}
@@ -208,15 +198,11 @@
 			effect: c.Effect, runs: spreadOver(c.Contract), quiet: spreadOver(c.Contract)})
 		s.services[0] = append(s.services[0], &s.categories[len(s.categories)-1].service)
 	}
-	for _, t := range d.Tenants {
-		rate := t.Quota / float64(max(1, d.Servers)) / 1e4
-		most := max(1, rate*float64(longest))
-		s.tenants = append(s.tenants, &tenant{service: service{weight: d.TenantWeight / whole}, rate: rate,
-			room: most, most: most, filled: now})
-		s.services[1] = append(s.services[1], &s.tenants[len(s.tenants)-1].service)
+	for range d.Tenants {
+		s.services[1] = append(s.services[1], &service{weight: d.TenantWeight / whole})
 	}
-	if len(s.tenants) == 0 {
-		s.tenants = []*tenant{{room: math.Inf(1), most: math.Inf(1)}}
+	if len(s.services[1]) == 0 {
+		s.services[1] = []*service{{}}
 	}
 	s.look = max(1, Tenths(float64(shortest)*lookPart))
 	s.callTook, s.lost = spreadOver(longest/2), spreadOver(longest/2)
@@ -232,8 +218,7 @@
 func (s *Server) Take(a Arrival) *WorkItem {
 	w := &WorkItem{Door: a.Door, s: s, arrived: s.now - a.Unread, kb: a.HeldKb, place: -1}
 	w.category = s.categories[max(0, min(a.Category, len(s.categories)-1))]
-	w.tenant = s.tenants[max(0, min(a.Tenant, len(s.tenants)-1))]
-	w.within = w.tenant.covers(s.now)
+	w.tenant = s.services[1][max(0, min(a.Tenant, len(s.services[1])-1))]
 	c := w.category
 	w.contract, w.due = w.arrived+c.contract, w.arrived+c.expiry
 	for a.Caller >= len(s.callers) {
@@ -262,7 +247,7 @@
 		// One run at most comes of all tries of a stamp: a later one shares the answer of a run begun, or
 		// takes the place of a try still held, whose caller has mostly left.
 		if a.Earlier == nil || a.Earlier.state != held {
-			w.state, w.ran = sharing, true
+			w.state = sharing
 			s.watch(w, w.due)
 			s.host.Share(w)
 			return w
@@ -285,17 +270,6 @@
 	return c.votes > few
 }
 
-// covers says whether one more work item is within the tenant's share, as far as one server can tell.
-func (t *tenant) covers(now Tenths) bool {
-	t.room = min(t.most, t.room+t.rate*float64(now-t.filled))
-	t.filled = now
-	if t.room < 1 {
-		return false
-	}
-	t.room--
-	return true
-}
-
 // AtCall: the run can't go on without a call below.
 func (w *WorkItem) AtCall() {
 	if w.state == running {
@@ -311,7 +285,7 @@
 	if w.state != calling {
 		return
 	}
-	s.callOver(how == Unknown)
+	s.callOver(took, how == Unknown)
 	w.state = standing
 	switch {
 	case how == Well:
@@ -333,7 +307,7 @@
 		return
 	}
 	if w.state == calling {
-		s.callOver(true)
+		s.callOver(s.now-w.notYet, true)
 	}
 	if w.state == standing || w.state == calling {
 		s.atCalls--
@@ -396,7 +370,7 @@
 	s.wakes = forever
 	s.onCores += (g.OnCores - s.onCores) * smoothing
 	// While cores read idle and work waits, no experiment is needed to know that more can run.
-	if idle := s.cores - g.OnCores; idle >= 1 && g.CoreUse < idleCores && s.bound() && len(s.hold) > 0 {
+	if idle := s.cores - g.OnCores; idle >= 1 && g.CoreUse < idleCores && s.inPool >= int(s.pool) && len(s.hold) > 0 {
 		s.pool += math.Floor(min(idle, float64(len(s.hold))))
 	}
 	// The other way round: what crowds the cores well past their number adds nothing. Once a round trip, as
@@ -426,10 +400,12 @@
 			continue
 		}
 		// The test on joining the hold, for those that could not start at once.
-		if queued := s.now - w.arrived + s.queueAhead(w); queued > w.budget() {
+		budget := max(0, w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt))
+		if queued := s.now - w.arrived + s.queueAhead(w); queued > budget {
 			s.decline(w, queued, false)
 		} else {
-			s.watch(w, w.giveUp())
+			// From then on it has no fair chance left; it is answered at once.
+			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(0.5))))
 		}
 	}
 	s.tell()
@@ -454,16 +430,6 @@
 	return min(w.due, w.contract)
 }
 
-// budget is how long a work item may queue in all.
-func (w *WorkItem) budget() Tenths {
-	return max(0, w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt))
-}
-
-// giveUp is the moment from which a held work item has no fair chance left; it is answered then, not later.
-func (w *WorkItem) giveUp() Tenths {
-	return max(w.s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(0.5)))
-}
-
 // queueAhead reads the wait of the queue that would run before w: that of the oldest held there.
 func (s *Server) queueAhead(w *WorkItem) Tenths {
 	for _, h := range s.hold {
@@ -514,11 +480,7 @@
 // the proportion in which the deployment weighs the whole, and what the worst served add on top.
 func (s *Server) value(w *WorkItem) float64 {
 	c, run := w.category, w.category.runs.at(0.5)
-	v := c.gain / s.meanGain
-	if !w.within {
-		v *= s.overShare
-	}
-	v += c.bonus(s.worst[0], s.asked) + w.tenant.bonus(s.worst[1], s.asked)
+	v := c.gain/s.meanGain + c.bonus(s.worst[0], s.asked) + w.tenant.bonus(s.worst[1], s.asked)
 	if s.now+run > w.contract {
 		v *= c.lateShare
 	}
@@ -547,7 +509,7 @@
 // fill starts held work items, the most valuable first, while the pool and the guards have room.
 func (s *Server) fill() {
 	for len(s.hold) > 0 {
-		if s.bound() {
+		if s.inPool >= int(s.pool) {
 			s.full = true
 			return
 		}
@@ -562,7 +524,7 @@
 			return
 		}
 		s.leaveHold(best)
-		best.state, best.ran, best.began, best.quiet = running, true, s.now, s.onCores <= s.cores
+		best.state, best.began, best.quiet = running, s.now, s.onCores <= s.cores
 		s.memory += more
 		s.inPool++
 		s.cur.in++
@@ -571,9 +533,6 @@
 	}
 }
 
-// bound says whether the pool has no room for a start.
-func (s *Server) bound() bool { return float64(s.inPool) >= math.Floor(s.pool) }
-
 // crowd is how many work items may be on the cores: fewer while cold, by the line it warms up by at worst.
 // Those on the disk can all come back at once, so they count.
 func (s *Server) crowd() float64 {
@@ -648,8 +607,7 @@
 		case w.notYet > s.now || !s.callRoom():
 			wait = append(wait, w)
 		default:
-			s.countCalls()
-			w.state = calling
+			w.state, w.notYet = calling, s.now
 			s.callsIn++
 			s.host.Call(w, w.worthUntil())
 		}
@@ -657,28 +615,23 @@
 	s.stood = wait
 }
 
-// callRoom keeps the mean of calls in hand within the share; a share under one still lets some through.
+// callRoom keeps calls in hand within the share. Under a share of one, a call is made now and then, so that
+// they are within it in the mean.
 func (s *Server) callRoom() bool {
-	s.countCalls()
-	in := float64(s.callsIn + len(s.lingering))
-	return !s.below || in+1 <= s.callsMost || in < 1 && s.callsMean < s.callsMost
-}
-
-func (s *Server) countCalls() {
-	part := min(1, float64(s.now-s.callsAt)/float64(s.callsOver))
-	s.callsMean += (float64(s.callsIn+len(s.lingering)) - s.callsMean) * part
-	s.callsAt = s.now
 	for len(s.lingering) > 0 && s.lingering[0] <= s.now {
 		s.lingering = s.lingering[1:]
 	}
+	in := float64(s.callsIn + len(s.lingering))
+	return !s.below || in+1 <= s.callsMost || in < 1 && s.now >= s.callsRest
 }
 
-func (s *Server) callOver(givenUp bool) {
-	s.countCalls()
+func (s *Server) callOver(took Tenths, givenUp bool) {
 	s.callsIn--
 	if givenUp {
 		s.lingering = append(s.lingering, s.now+s.linger)
+		took += s.linger
 	}
+	s.callsRest = s.now + Tenths(float64(took)/max(s.callsMost, 1e-3))
 }
 
 func (s *Server) watch(w *WorkItem, at Tenths) {
@@ -752,22 +705,11 @@
 
 // tell says how much more this server can take, in the tongue that callers understand.
 func (s *Server) tell() {
-	var value float64
-	switch s.tongue {
-	case Mute:
-		return
-	case Allowed:
-		value = math.Round(s.allowed()*few) / few
-	case Odds:
-		value = 1
-	}
+	value := map[Tongue]float64{Allowed: math.Round(s.allowed()*few) / few, Odds: 1}[s.tongue]
 	if s.leaving {
-		value = 0
-		if s.tongue == Rank {
-			value = 1
-		}
+		value = map[Tongue]float64{Rank: 1}[s.tongue]
 	}
-	if value != s.said {
+	if value != s.said && s.tongue != Mute {
 		s.said = value
 		s.host.Say(value)
 	}
--- a/admission/host.go
+++ b/admission/host.go
@@ -45,18 +45,11 @@
 	Effect    Effect
 }
 
-// Tenant is what a deployment says of one of those who share it.
-type Tenant struct {
-	Share float64
-	Quota float64 // work items a second over the whole fleet
-}
-
 // Deployment is what a server is told when it starts.
 type Deployment struct {
 	Seed       int64
 	Categories []Category
-	Tenants    []Tenant
-	Servers    int
+	Tenants    int
 	Callers    int
 	Cores      int
 	Memory     float64 // kilobytes
@@ -72,7 +65,6 @@
 
 	SharedBelow bool    // one dependency for the whole fleet
 	CallShare   float64 // this server's part of the calls in hand that it survives
-	CallsOver   Tenths  // in the mean of this span
 	Linger      Tenths  // a call given up stays in its hands for this long
 
 	Tongue         Tongue
@@ -81,7 +73,6 @@
 	WholeWeight    float64
 	CategoryWeight float64 // weight of the worst-served category
 	TenantWeight   float64 // weight of the worst-served tenant
-	OverShare      float64 // what a work item beyond its tenant's share is worth
 }
 
 // Arrival is what a work item says of itself when it has been read.
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -40,8 +40,8 @@
 	require.NoError(t, err)
 	defer f.Close()
 	s := &stage{Assertions: require.New(t), items: map[string]*WorkItem{}, names: map[uint64]string{}}
-	s.deployment = Deployment{Servers: 1, Callers: 1, Cores: 2, Memory: 1e6, RunFactor: 4, EntryKb: 1,
-		Period: 10, Grace: 1000, Crowd: 8, CallsOver: 5000, MaxAway: 10000, WholeWeight: 1, Tongue: Allowed}
+	s.deployment = Deployment{Callers: 1, Cores: 2, Memory: 1e6, RunFactor: 4, EntryKb: 1,
+		Period: 10, Grace: 1000, Crowd: 8, MaxAway: 10000, WholeWeight: 1, Tongue: Allowed}
 	open, checked := false, true
 	in := bufio.NewScanner(f)
 	for n := 1; in.Scan(); n++ {
@@ -123,8 +123,6 @@
 				d.Tongue = Tongue(v)
 			case "worst":
 				d.CategoryWeight = v
-			case "over":
-				d.OverShare = v
 			default:
 				s.Fail("unknown field", where)
 			}
@@ -136,9 +134,6 @@
 		d.Categories = append(d.Categories, Category{Gain: f["gain"], LateShare: f["late"],
 			Contract: Tenths(f["contract"] * 10), Expiry: Tenths(f["expiry"] * 10),
 			Window: Tenths(f["window"] * 10), Effect: effect[word[1]]})
-	case "tenant":
-		f := s.fields(word[1:], where)
-		d.Tenants = append(d.Tenants, Tenant{Share: f["share"], Quota: f["quota"]})
 	case "take":
 		s.take(word[1], word[2:], where)
 	case "leave":
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -22,22 +22,21 @@
 			Window                              float64
 		}
 		FamilyInfo struct {
-			CallShare, CallsOver, EntryKb, Linger, MemoryKb, RunFactor float64
-			Callers, Cores                                             int
-			Cold                                                       bool
-			Downstream, Halt, Say                                      string
-			Meters                                                     []string
+			CallShare, EntryKb, Linger, MemoryKb, RunFactor float64
+			Callers, Cores                                  int
+			Cold                                            bool
+			Downstream, Halt, Say                           string
+			Meters                                          []string
 		}
 		Limits struct {
 			MaxRetryAfter float64
 			RetryAfter    bool
 		}
-		OverShareWorth, Period float64
-		Rules                  struct {
+		Period float64
+		Rules  struct {
 			Cold, ColdFrom, DrainGrace, TipMultiple float64
 		}
-		Servers int
-		Tenants []struct{ QuotaPerS, Share float64 }
+		Tenants []any
 	}
 	if err := json.Unmarshal([]byte(f.values["Env"]), &env); err != nil {
 		return fmt.Errorf("CREATE: the settings can't be read: %w", err)
@@ -58,14 +57,14 @@
 		}
 		seed = v
 	}
-	d := admission.Deployment{Seed: seed, Servers: env.Servers, Callers: info.Callers, Cores: info.Cores,
+	d := admission.Deployment{Seed: seed, Tenants: len(env.Tenants), Callers: info.Callers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: up(env.Period),
 		Grace: down(rules.DrainGrace), Cold: info.Cold,
 		ColdFrom: rules.ColdFrom, ColdFor: up(rules.Cold), Crowd: rules.TipMultiple,
 		SharedBelow: info.Downstream == "common", CallShare: info.CallShare,
-		CallsOver: down(info.CallsOver), Linger: up(info.Linger), Tongue: tongues[info.Say],
+		Linger: up(info.Linger), Tongue: tongues[info.Say],
 		Stops: info.Halt == "drop", WholeWeight: env.Blend.Whole,
-		CategoryWeight: env.Blend.WorstClass, TenantWeight: env.Blend.WorstTenant, OverShare: env.OverShareWorth}
+		CategoryWeight: env.Blend.WorstClass, TenantWeight: env.Blend.WorstTenant}
 	if env.Limits.RetryAfter {
 		d.MaxAway = down(env.Limits.MaxRetryAfter)
 	}
@@ -74,9 +73,6 @@
 			Contract: down(c.OnTime), Expiry: down(c.HardLimit), Window: up(c.Window),
 			Effect: effects[c.Effect]})
 	}
-	for _, t := range env.Tenants {
-		d.Tenants = append(d.Tenants, admission.Tenant{Share: t.Share, Quota: t.QuotaPerS})
-	}
 	i.gauges, i.now = info.Meters, now
 	i.items = map[uint64]*admission.WorkItem{}
 	i.out.Reset()
