--- a/admission/admission.go
+++ b/admission/admission.go
@@ -28,6 +28,7 @@
 	callsPart    = 0.9      // part of the share of calls in hand that is used
 	callPatience = 4        // a harmless work item's call may take so many times what nine in ten took
 	invited      = 0.25     // part of the waiting that budgets allow which callers are invited to fill
+	fairChance   = 0.9     // quantile of recent runs that must still fit for a held work item to be kept
 	alike        = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
 	smoothing    = 1.0 / 8  // weight of the newest in a running mean
 	few          = 8        // counts that say nothing yet
@@ -225,13 +226,13 @@
 	w.tenant = s.services[1][max(0, min(a.Tenant, len(s.services[1])-1))]
 	c := w.category
 	w.contract, w.due = w.arrived+c.contract, w.arrived+c.expiry
+	if a.Left > 0 {
+		w.due = s.now + a.Left
+	}
 	for a.Caller >= len(s.callers) {
 		s.callers = append(s.callers, &caller{})
 	}
 	who := s.callers[max(0, a.Caller)]
-	if a.Left > 0 {
-		w.due = s.now + a.Left
-	}
 	if waits := float64(a.Left+a.Unread) / float64(c.expiry); a.Left > 0 && who.odd(waits) {
 		// A caller's first tries all wait alike. One that does not is a later try, waits for what is left
 		// of the expiry, and its contract time began with the first: too late already, it is not run.
@@ -409,7 +410,7 @@
 			s.decline(w, queued, false)
 		} else {
 			// From then on it has no fair chance left; it is answered at once.
-			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(0.5))))
+			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(fairChance))))
 		}
 	}
 	s.tell()
@@ -553,7 +554,6 @@
 func (s *Server) experiment() {
 	if s.counts > 0 && s.now >= s.counts {
 		s.cur, s.counts = window{}, 0 // the first round trip is skipped
-		s.end = max(s.end, s.now+1)
 	}
 	if s.now < s.end {
 		return
