--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,11 +1,11 @@
 package admission
 
-// How other code calls this: New makes the Server of one app server. For each batch the host calls At once,
-// then Take for each work item read (which gives its handle), AtCall, CallEnded, RunEnded and Gone on those
-// handles, Leave and Woken on the Server, and last Decide once. All answers go out through the interface
-// Host (host.go), during any of these calls. Not for use by two goroutines at a time.
+// How other code calls this: New makes the Server of one app server. For each batch the host calls At, Take
+// for each work item read (which gives its handle), AtCall, CallEnded, RunEnded and Gone on handles, Leave
+// and Woken on the Server, and last Decide. Answers go out through Host (host.go). One goroutine at a time.
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"math/rand"
@@ -24,11 +24,11 @@
 	lookPart     = 1.0 / 40 // gauges are read this often in the shortest contract time, while work is in hand
 	crowdPart    = 0.9      // part of the crowd the server survives that may be on the cores
 	workPart     = 0.9      // part of the memory up to which runs are begun and stamps are remembered
-	holdMemory   = 0.95     // part of the memory up to which work items are held
 	callsPart    = 0.9      // part of the share of calls in hand that is used
 	callPatience = 4        // a harmless work item's call may take so many times what nine in ten took
 	invited      = 0.25     // part of the waiting that budgets allow which callers are invited to fill
-	fairChance   = 0.9     // quantile of recent runs that must still fit for a held work item to be kept
+	fairChance   = 0.9      // quantile of recent runs that must still fit for a held work item to be kept
+	unreadPart   = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
 	alike        = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
 	smoothing    = 1.0 / 8  // weight of the newest in a running mean
 	few          = 8        // counts that say nothing yet
@@ -49,13 +49,11 @@
 
 func (s *spread) add(t Tenths) {
 	s.count[max(0, min(int(t/s.width), bins-1))]++
-	if s.n++; s.n < enough {
-		return
-	}
-	s.n = 0
-	for i := range s.count {
-		s.count[i] /= 2
-		s.n += s.count[i]
+	if s.n++; s.n >= enough {
+		s.n /= 2
+		for i := range s.count {
+			s.count[i] /= 2
+		}
 	}
 }
 
@@ -71,7 +69,7 @@
 	return 0
 }
 
-// service counts how well a category or a tenant is served here; weight is that of the worst served.
+// service counts how well a category or a tenant is served here.
 type service struct{ asked, fulfilled, weight, gain float64 }
 
 // category is what decisions need of one kind of work item.
@@ -151,14 +149,15 @@
 	meanGain   float64
 	lost       spread // ages at which tries ended here without their answer
 
-	pool, step, cores float64
-	onCores           float64 // what wants a core, of late
-	relief            Tenths  // the pool may give way to a crowd again then
-	inPool, atCalls   int     // begun and not over; of these off the cores at a call
-	counts, end       Tenths  // of the window
-	cur, last         window
-	full              bool // the pool bound a start in this window
-	trip              float64
+	pool, step, cores  float64
+	onCores            float64 // what wants a core, of late
+	relief             Tenths  // the pool may give way to a crowd again then
+	inPool, atCalls    int     // begun and not over; of these off the cores at a call
+	counts, end        Tenths  // of the window
+	cur, last          window
+	unread, unreadMost float64 // time that work items lay unread, of late
+	full               bool    // the pool bound a start in this window
+	trip               float64
 
 	hold    []*WorkItem // oldest first; those not yet in moments have not passed the test on joining
 	stood   []*WorkItem // at a call that is not made yet
@@ -203,13 +202,11 @@
 			runs: spreadOver(c.Contract), quiet: spreadOver(c.Contract)})
 		s.services[0] = append(s.services[0], &s.categories[len(s.categories)-1].service)
 	}
-	for range d.Tenants {
+	for range max(1, d.Tenants) {
 		s.services[1] = append(s.services[1], &service{weight: d.TenantWeight / whole})
 	}
-	if len(s.services[1]) == 0 {
-		s.services[1] = []*service{{}}
-	}
 	s.look = max(1, Tenths(float64(shortest)*lookPart))
+	s.unreadMost = float64(shortest) * unreadPart
 	s.callTook, s.lost = spreadOver(longest/binsAScale), spreadOver(longest/2)
 	s.openWindow()
 	host.Health(true, true)
@@ -242,12 +239,14 @@
 		w.contract -= s.lost.at(0.5)
 	}
 	w.due = min(w.due, s.stop) - s.margin
+	s.unread += (float64(a.Unread) - s.unread) * smoothing
 	s.memory += w.kb
 	c.asked++
 	w.tenant.asked++
 	who.taken++
-	s.asked++
-	s.age()
+	if s.asked++; s.asked >= enough {
+		s.age()
+	}
 	if a.Repeats && c.effect == Stamped {
 		// One run at most comes of all tries of a stamp: a later one shares the answer of a run begun, or
 		// takes the place of a try still held, whose caller has mostly left.
@@ -348,9 +347,15 @@
 	}
 	w.gone = true
 	s.lost.add(s.now - w.arrived)
+	s.stopRun(w)
 	if w.state == held || w.state == sharing {
 		s.finish(w)
-	} else if w.state == running && s.stops && w.category.effect == Harmless {
+	}
+}
+
+// stopRun saves the rest of a run that nobody needs; one with an effect goes on to its end.
+func (s *Server) stopRun(w *WorkItem) {
+	if w.state == running && s.stops && w.category.effect == Harmless {
 		s.host.Stop(w)
 	}
 }
@@ -375,13 +380,13 @@
 	s.wakes = forever
 	s.onCores += (g.OnCores - s.onCores) * smoothing
 	// While cores read idle and work waits, no experiment is needed to know that more can run.
-	idle, binds := s.cores-g.OnCores, s.inPool >= int(s.pool) && len(s.hold) > 0
+	idle, binds := s.cores-g.OnCores, s.inPool >= s.room() && len(s.hold) > 0
 	if binds && idle >= 1 && g.CoreUse < idleCores {
 		s.pool += math.Floor(min(idle, float64(len(s.hold))))
 	}
-	// The other way round: what crowds the cores well past their number adds nothing. Once a round trip, as it
-	// takes that long to show. Guards against what piles runs up faster than windows see: slow or shared cores,
-	// runs back from the disk together, storms of reading. Harms where the gauge counts what does not compete.
+	// What crowds them, the other way round, adds nothing; this shows once a round trip. Guards against whatever
+	// piles runs up faster than windows see: slow or shared cores, runs back from the disk together, storms of
+	// reading. Harms where the gauge counts what does not compete.
 	if over := s.onCores - crowded*s.cores; over > 0 && s.now >= s.relief {
 		s.pool = max(s.cores, min(s.pool, float64(s.inPool))-math.Ceil(over))
 		s.relief = s.now + Tenths(s.trip)
@@ -461,9 +466,6 @@
 
 // age halves what is counted over all work items.
 func (s *Server) age() {
-	if s.asked < enough {
-		return
-	}
 	s.asked /= 2
 	for _, v := range append(s.services[0], s.services[1]...) {
 		v.asked, v.fulfilled = v.asked/2, v.fulfilled/2
@@ -497,7 +499,7 @@
 		s.decline(w, forever, false)
 	case s.now+w.category.quiet.at(0.1) >= w.worthUntil(): // too late anywhere
 		s.decline(w, 0, true)
-	case s.memory > s.memoryMost*holdMemory, stamped && s.memory+s.entryKb > s.memoryMost*workPart:
+	case s.memory > s.memoryMost*(1+workPart)/2, stamped && s.memory+s.entryKb > s.memoryMost*workPart:
 		// No room to hold it, or to remember that it ran.
 		s.decline(w, s.look, false)
 	case stamped:
@@ -511,16 +513,11 @@
 // fill starts held work items, the most valuable first, while the pool and the guards have room.
 func (s *Server) fill() {
 	for len(s.hold) > 0 {
-		if s.inPool >= int(s.pool) {
+		if s.inPool >= s.room() {
 			s.full = true
 			return
 		}
-		best := s.hold[0]
-		for _, w := range s.hold[1:] {
-			if s.value(w) > s.value(best) {
-				best = w
-			}
-		}
+		best := slices.MaxFunc(s.hold, func(a, b *WorkItem) int { return cmp.Compare(s.value(a), s.value(b)) })
 		more := best.kb * (s.runFactor - 1)
 		if float64(s.inPool-s.atCalls) >= s.crowd()-1 || s.memory+more > s.memoryMost*workPart {
 			return
@@ -535,8 +532,16 @@
 	}
 }
 
-// crowd is how many work items may be on the cores: fewer while cold, by the line it warms up by at worst.
-// Those on the disk can all come back at once, so they count.
+// room is the pool, but half the cores while much of the contract time passes unread: runs starve reading.
+// Guards against tries sent faster than they can be read; harms where reading does not wait for the cores.
+func (s *Server) room() int {
+	if s.unread > s.unreadMost {
+		return min(int(s.pool), int(s.cores/2)+s.atCalls)
+	}
+	return int(s.pool)
+}
+
+// crowd is how many may be on the cores, less while cold. Those on the disk can all come back, so they count.
 func (s *Server) crowd() float64 {
 	speed := 1.0
 	if s.now < s.warmAt {
@@ -578,20 +583,15 @@
 // lastMoments answers what can't wait any longer.
 func (s *Server) lastMoments() {
 	for len(s.moments) > 0 && s.moments[0].moment <= s.now {
-		w := heap.Pop(&s.moments).(*WorkItem)
-		if w.state == over {
+		switch w := heap.Pop(&s.moments).(*WorkItem); {
+		case w.state == over:
 			s.memory -= s.entryKb
-			continue
-		}
-		if w.state == held {
+		case w.state == held:
 			s.cur.drops++
 			s.decline(w, s.look, false)
-			continue
-		}
-		stop := !w.answered && w.state == running && s.stops && w.category.effect == Harmless
-		s.breakOff(w)
-		if stop {
-			s.host.Stop(w)
+		case !w.answered && !w.gone:
+			s.breakOff(w)
+			s.stopRun(w)
 		}
 	}
 }
@@ -643,12 +643,11 @@
 }
 
 func (s *Server) watch(w *WorkItem, at Tenths) {
-	w.moment = at
-	if w.place < 0 {
-		heap.Push(&s.moments, w)
-	} else {
-		heap.Fix(&s.moments, w.place)
+	if w.place >= 0 {
+		heap.Remove(&s.moments, w.place)
 	}
+	w.moment = at
+	heap.Push(&s.moments, w)
 }
 
 func (s *Server) leaveHold(w *WorkItem) {
