--- a/admission/admission.go
+++ b/admission/admission.go
@@ -8,34 +8,34 @@
 	"cmp"
 	"container/heap"
 	"math"
-	"math/rand"
 	"slices"
 )
 
 const (
-	efficiency   = 0.75     // t_e: least share of added starts that must come out as answers
-	dropLimit    = 1.0      // t_d: drops for each start that shrink the pool
-	aggression   = 0.001    // alpha: step of the pool for each caller
-	firstTrip    = 1000     // round trip before any is measured: 100 ms
-	trips        = 4        // round trips a window, of which the first is skipped
-	budgetAt     = 0.99     // quantile of quiet runs that the queueing budget leaves room for
-	idleCores    = 0.9      // below this use the cores read idle
-	crowded      = 1.5      // with more than this on the cores for each core the pool gives way
-	lookPart     = 1.0 / 40 // gauges are read this often in the shortest contract time, while work is in hand
-	crowdPart    = 0.9      // part of the crowd the server survives that may be on the cores
-	workPart     = 0.9      // part of the memory up to which runs are begun and stamps are remembered
-	callsPart    = 0.9      // part of the share of calls in hand that is used
-	callPatience = 4        // a harmless work item's call may take so many times what nine in ten took
-	invited      = 0.25     // part of the waiting that budgets allow which callers are invited to fill
-	fairChance   = 0.9      // quantile of recent runs that must still fit for a held work item to be kept
-	unreadPart   = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
-	alike        = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
-	smoothing    = 1.0 / 8  // weight of the newest in a running mean
-	few          = 8        // counts that say nothing yet
-	enough       = 256      // counts at which what is counted is halved
-	bins         = 24       // bins of a histogram
-	binsAScale   = 16       // and how many of them make up its scale
-	forever      = 1 << 60  // later than all times
+	efficiency = 0.75     // t_e: least share of added starts that must come out as answers
+	dropLimit  = 1.0      // t_d: drops for each start that shrink the pool
+	aggression = 0.001    // alpha: step of the pool for each caller
+	firstTrip  = 1000     // round trip before any is measured: 100 ms
+	trips      = 4        // round trips a window, of which the first is skipped
+	budgetAt   = 0.99     // quantile of quiet runs that the queueing budget leaves room for
+	idleCores  = 0.9      // below this use the cores read idle
+	crowded    = 1.5      // with more than this on the cores for each core the pool gives way
+	lookPart   = 1.0 / 40 // gauges are read this often in the shortest contract time, while work is in hand
+	crowdPart  = 0.9      // part of the crowd the server survives that may be on the cores
+	workPart   = 0.9      // part of the memory up to which runs are begun and stamps are remembered
+	callsPart  = 0.9      // part of the share of calls in hand that is used
+	slowCalls  = 4        // calls are slow where they take so many times what quick ones take
+	callStep   = 0.75     // and then the calls in hand change by this
+	invited    = 0.25     // part of the waiting that budgets allow which callers are invited to fill
+	fairChance = 0.9      // quantile of recent runs that must still fit for a held work item to be kept
+	unreadPart = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
+	alike      = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
+	smoothing  = 1.0 / 8  // weight of the newest in a running mean
+	few        = 8        // counts that say nothing yet
+	enough     = 256      // counts at which what is counted is halved
+	bins       = 24       // bins of a histogram
+	binsAScale = 16       // and how many of them make up its scale
+	forever    = 1 << 60  // later than all times
 )
 
 // spread is a histogram of times.
@@ -69,8 +69,7 @@
 	return 0
 }
 
-// service counts how well a category or a tenant is served here.
-type service struct{ asked, fulfilled, weight, gain float64 }
+type service struct{ asked, fulfilled, weight, gain float64 } // of a category or a tenant
 
 // category is what decisions need of one kind of work item.
 type category struct {
@@ -102,23 +101,21 @@
 
 // WorkItem is the handle of one work item taken.
 type WorkItem struct {
-	Door     uint64 // the host's own mark
-	s        *Server
-	category *category
-	tenant   *service
-	state    state
-	arrived  Tenths // on the machine, not when read
-	contract Tenths // the end of its contract time
-	due      Tenths // it must have its answer by then
-	moment   Tenths // when to look at it next
-	place    int    // in the heap of moments, -1 outside
-	began    Tenths // its run
-	notYet   Tenths // a call is not made again before this
-	kb       float64
-	stamped  Tenths // until when it owns an entry in the table of stamps, 0 where it does not
-	quiet    bool   // the cores were not crowded when its run began
-	answered bool
-	gone     bool // its caller
+	Door                  uint64 // the host's own mark
+	s                     *Server
+	category              *category
+	tenant                *service
+	state                 state
+	arrived               Tenths // on the machine, not when read
+	contract              Tenths // the end of its contract time
+	due                   Tenths // it must have its answer by then
+	moment                Tenths // when to look at it next
+	place                 int    // in the heap of moments, -1 outside
+	began                 Tenths // its run
+	notYet                Tenths // a call is not made again before this
+	kb                    float64
+	stamped               Tenths // until when it owns an entry in the table of stamps, 0 where it does not
+	quiet, answered, gone bool   // the cores were quiet when its run began; it has its answer; its caller left
 }
 
 type moments []*WorkItem
@@ -134,12 +131,11 @@
 }
 
 // window is what one experiment counted.
-type window struct{ in, out, drops float64 }
+type window struct{ in, out, drops, calls float64 }
 
 // Server decides for one app server.
 type Server struct {
 	host       Host
-	chance     *rand.Rand
 	now        Tenths
 	categories []*category
 	callers    []*caller
@@ -149,15 +145,14 @@
 	meanGain   float64
 	lost       spread // ages at which tries ended here without their answer
 
-	pool, step, cores  float64
-	onCores            float64 // what wants a core, of late
-	relief             Tenths  // the pool may give way to a crowd again then
-	inPool, atCalls    int     // begun and not over; of these off the cores at a call
-	counts, end        Tenths  // of the window
-	cur, last          window
-	unread, unreadMost float64 // time that work items lay unread, of late
-	full               bool    // the pool bound a start in this window
-	trip               float64
+	pool, step, cores           float64
+	onCores, unread, unreadMost float64 // of late: what wants a core, the time work items lie unread; its limit
+	relief                      Tenths  // the pool may give way to a crowd again then
+	inPool, atCalls             int     // begun and not over; of these off the cores at a call
+	counts, end                 Tenths  // of the window
+	cur, last                   window
+	full                        bool // the pool bound a start in this window
+	trip                        float64
 
 	hold    []*WorkItem // oldest first; those not yet in moments have not passed the test on joining
 	stood   []*WorkItem // at a call that is not made yet
@@ -167,6 +162,7 @@
 	crowdMost, coldFrom                    float64
 	warmAt, coldFor                        Tenths
 	below, stops                           bool
+	callsNow, callsStep, callLately        float64 // of these the mean allowed now, its next step, time of calls
 	callsMost, callsLeft, callsOver        float64 // calls in hand: the mean allowed, and what is left of it
 	callsIn                                int
 	callsAt, linger                        Tenths
@@ -183,7 +179,7 @@
 
 // New makes the Server of one app server that starts now.
 func New(d Deployment, host Host, now Tenths) *Server {
-	s := &Server{host: host, chance: rand.New(rand.NewSource(d.Seed)), now: now, cores: float64(d.Cores),
+	s := &Server{host: host, now: now, cores: float64(d.Cores),
 		pool: float64(d.Cores), step: max(1, aggression*float64(d.Callers)), trip: firstTrip,
 		memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor, crowdMost: d.Crowd, coldFrom: 1,
 		below: d.SharedBelow, stops: d.Stops, callsMost: d.CallShare * callsPart,
@@ -191,7 +187,7 @@
 		linger: d.Linger, margin: 2*d.Period + 1, graceEnd: d.Grace - 2*d.Period,
 		stop: forever, tongue: d.Tongue, said: -1, maxAway: d.MaxAway, wakes: forever}
 	if d.Cold {
-		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, max(1, d.ColdFor), now+d.ColdFor
+		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, d.ColdFor, now+d.ColdFor
 	}
 	shortest, longest, whole := Tenths(forever), Tenths(1), max(d.WholeWeight, 1e-3)
 	for _, c := range d.Categories {
@@ -208,6 +204,7 @@
 	s.look = max(1, Tenths(float64(shortest)*lookPart))
 	s.unreadMost = float64(shortest) * unreadPart
 	s.callTook, s.lost = spreadOver(longest/binsAScale), spreadOver(longest/2)
+	s.callsNow, s.callsStep = s.callsMost, 1
 	s.openWindow()
 	host.Health(true, true)
 	return s
@@ -291,9 +288,11 @@
 	}
 	s.callOver(how == Unknown)
 	s.callTook.add(took)
+	s.callLately += (float64(took) - s.callLately) * smoothing
 	w.state = standing
 	switch {
 	case how == Well:
+		s.cur.calls++
 		s.atCalls--
 		w.state = running
 	case how == Unseen || w.category.effect == Harmless && !w.answered && !w.gone:
@@ -543,10 +542,7 @@
 
 // crowd is how many may be on the cores, less while cold. Those on the disk can all come back, so they count.
 func (s *Server) crowd() float64 {
-	speed := 1.0
-	if s.now < s.warmAt {
-		speed -= (1 - s.coldFrom) * float64(s.warmAt-s.now) / float64(s.coldFor)
-	}
+	speed := 1 - (1-s.coldFrom)*float64(max(0, s.warmAt-s.now))/float64(max(1, s.coldFor))
 	return s.cores * (1 + (s.crowdMost-1)*speed) * crowdPart
 }
 
@@ -564,7 +560,8 @@
 		return
 	}
 	span := (trips - 1) * s.trip
-	cur := window{s.cur.in / span, s.cur.out / span, s.cur.drops / span}
+	cur := window{s.cur.in / span, s.cur.out / span, s.cur.drops / span, s.cur.calls / span}
+	s.sizeCalls(cur.calls)
 	if s.full && cur.in > 0 {
 		more, gained := cur.in-s.last.in, cur.out-s.last.out
 		if more <= 0 {
@@ -580,6 +577,18 @@
 	s.openWindow()
 }
 
+// sizeCalls puts calls in hand to the same test while they are slow, within the share and above a part of it.
+// Guards what lies below against a jam that feeds itself; harms a little where it is slow for another reason.
+func (s *Server) sizeCalls(calls float64) {
+	step := s.callsStep - 1
+	if s.callLately <= slowCalls*float64(s.callTook.at(0.25)) {
+		s.callsStep = 1 / callStep
+	} else if calls-s.last.calls <= efficiency*step*s.last.calls {
+		s.callsStep = 1 / s.callsStep
+	}
+	s.callsNow = max(s.callsMost*(1-callStep), min(s.callsMost, s.callsNow*s.callsStep))
+}
+
 // lastMoments answers what can't wait any longer.
 func (s *Server) lastMoments() {
 	for len(s.moments) > 0 && s.moments[0].moment <= s.now {
@@ -610,13 +619,7 @@
 		default:
 			w.state = calling
 			s.callsIn++
-			until := w.worthUntil()
-			if w.category.effect == Harmless && s.callTook.n >= few {
-				// A call far slower than others is given up and made again: one that hangs must not keep
-				// this server's share, and its caller, waiting. Where all become slow the patience follows.
-				until = min(until, s.now+max(s.look, callPatience*s.callTook.at(0.9)))
-			}
-			s.host.Call(w, until)
+			s.host.Call(w, w.worthUntil())
 		}
 	}
 	s.stood = wait
@@ -629,9 +632,9 @@
 		s.lingering = s.lingering[1:]
 	}
 	in := float64(s.callsIn + len(s.lingering))
-	s.callsLeft = min(s.callsLeft+(s.callsMost-in)*float64(s.now-s.callsAt), s.callsMost*s.callsOver*smoothing/2)
+	s.callsLeft = min(s.callsLeft+(s.callsNow-in)*float64(s.now-s.callsAt), s.callsNow*s.callsOver*smoothing/2)
 	s.callsAt = s.now
-	return !s.below || s.callsLeft > 0 && in < math.Ceil(s.callsMost)
+	return !s.below || s.callsLeft > 0 && in < math.Ceil(s.callsNow)
 }
 
 func (s *Server) callOver(givenUp bool) {
@@ -661,11 +664,9 @@
 	if s.leaving {
 		away = forever
 	}
-	// Spread a little, so that those told to stay away do not come back together.
-	away = Tenths(float64(min(away, s.maxAway)) * (1 - s.chance.Float64()*smoothing))
 	w.answered = true
 	s.lost.add(s.now - w.arrived)
-	s.host.Decline(w, away, nowhereElse)
+	s.host.Decline(w, min(away, s.maxAway), nowhereElse)
 	s.finish(w)
 }
 
--- a/admission/host.go
+++ b/admission/host.go
@@ -47,7 +47,6 @@
 
 // Deployment is what a server is told when it starts.
 type Deployment struct {
-	Seed       int64
 	Categories []Category
 	Tenants    int
 	Callers    int
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -45,19 +45,7 @@
 	if len(env.Categories) == 0 || info.Cores < 1 {
 		return errors.New("CREATE: the settings name no category or no core")
 	}
-	var seed int64
-	if text := f.values["Prng"]; text != "" {
-		v, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			u, uerr := strconv.ParseUint(text, 10, 64)
-			if uerr != nil {
-				return fmt.Errorf("CREATE: Prng=%q is not a whole number", text)
-			}
-			v = int64(u)
-		}
-		seed = v
-	}
-	d := admission.Deployment{Seed: seed, Tenants: len(env.Tenants), Callers: info.Callers, Cores: info.Cores,
+	d := admission.Deployment{Tenants: len(env.Tenants), Callers: info.Callers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: up(env.Period),
 		Grace: down(rules.DrainGrace), Cold: info.Cold,
 		ColdFrom: rules.ColdFrom, ColdFor: up(rules.Cold), Crowd: rules.TipMultiple,
