--- a/admission/admission.go
+++ b/admission/admission.go
@@ -204,7 +204,7 @@
 	s.look = max(1, Tenths(float64(shortest)*lookPart))
 	s.unreadMost = float64(shortest) * unreadPart
 	s.callTook, s.lost = spreadOver(longest/binsAScale), spreadOver(longest/2)
-	s.callsNow, s.callsStep = s.callsMost, 1
+	s.callsNow, s.callsStep = s.callsMost, 1/callStep
 	s.openWindow()
 	host.Health(true, true)
 	return s
