--- a/admission/admission.go
+++ b/admission/admission.go
@@ -296,7 +296,7 @@
 		s.atCalls--
 		w.state = running
 	case how == Unseen || w.category.effect == Harmless && !w.answered && !w.gone:
-		w.notYet = s.now + s.look
+		w.notYet = s.now + max(s.look, (s.now-w.began)/2) // ever longer: it is asked less the longer it fails
 		s.stood = append(s.stood, w)
 	default:
 		s.breakOff(w)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -236,6 +236,9 @@
 	a := admission.Arrival{Door: f.whole("Xid"), Category: int(f.whole("Band")), Tenant: int(f.whole("Owner")),
 		Caller: int(f.whole("OriginPeer")), Rank: f.number("Precedence"), HeldKb: f.number("HeldKb"),
 		Unread: f.time("Lay", down), Left: f.time("TimeLeft", down), Again: f.flag("Retry")}
+	if f.number("TimeLeft") != 0 {
+		a.Left = max(1, a.Left) // told, however little; none would mean that it was not
+	}
 	if earlier := f.whole("Forerunner"); earlier != 0 {
 		a.Repeats, a.Earlier = true, i.items[earlier]
 	}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -26,6 +26,7 @@
 FOR Server=server-1
 INBOUND Xid=5 Lay=0.55 HeldKb=1 Novel=x
 INBOUND Xid=6
+INBOUND Xid=7 TimeLeft=0.001
 ENDED Xid=99 Status=GOOD Duration=1
 SURPRISE Xid=5
 EOF_BATCH
@@ -48,6 +49,7 @@
 MARK_HEALTH Cheap=1 Want=1
 EOR
 AS Server=server-1
+TURN_AWAY Xid=7 NoRetry=1
 EXECUTE Xid=5
 WAKE_AT SleepFor=1.2 Token=look
 EOR
