--- a/admission/admission.go
+++ b/admission/admission.go
@@ -411,7 +411,7 @@
 		// The test on joining the hold, for those that could not start at once.
 		budget := max(0, w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt))
 		if queued := s.now - w.arrived + s.queueAhead(w); queued > budget {
-			s.decline(w, queued, false)
+			s.decline(w, queued/2, false)
 		} else {
 			// From then on it has no fair chance left; it is answered at once.
 			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(fairChance))))
