--- a/admission/admission.go
+++ b/admission/admission.go
@@ -296,7 +296,7 @@
 		s.atCalls--
 		w.state = running
 	case how == Unseen || w.category.effect == Harmless && !w.answered && !w.gone:
-		w.notYet = s.now + max(s.look, (s.now-w.began)/2) // ever longer: it is asked less the longer it fails
+		w.notYet = s.now + max(s.look, map[Outcome]Tenths{Unseen: (s.now - w.began) / 2}[how]) // full: ever longer
 		s.stood = append(s.stood, w)
 	default:
 		s.breakOff(w)
@@ -411,7 +411,7 @@
 		// The test on joining the hold, for those that could not start at once.
 		budget := max(0, w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt))
 		if queued := s.now - w.arrived + s.queueAhead(w); queued > budget {
-			s.decline(w, queued/2, false)
+			s.decline(w, queued, false)
 		} else {
 			// From then on it has no fair chance left; it is answered at once.
 			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(fairChance))))
