Random event sequences: a try read late shares, and shares only where memory has room

Played at random against the four rules (outside the repository): a try that reached the server before the one held, but was read after it, could run inside the window of a third; repeats that wait for a shared answer could overfill the memory.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -130,8 +130,7 @@
 	return w
 }
 
-// window is what one experiment counted.
-type window struct{ in, out, drops, calls float64 }
+type window struct{ in, out, drops, calls float64 } // what one experiment counted
 
 // Server decides for one app server.
 type Server struct {
@@ -210,7 +209,6 @@
 	return s
 }
 
-// At opens a batch.
 func (s *Server) At(now Tenths) { s.now = max(s.now, now) }
 
 // Take takes a work item that has been read; what becomes of it is settled at Decide.
@@ -245,12 +243,15 @@
 		s.age()
 	}
 	if a.Repeats && c.effect == Stamped {
-		// One run at most comes of all tries of a stamp: a later one shares the answer of a run begun, or
-		// takes the place of a try still held, whose caller has mostly left.
-		if a.Earlier == nil || a.Earlier.state != held {
+		// One run at most comes of a stamp's tries: a later one shares the answer of a run begun, or takes the
+		// place of one held, whose caller has mostly left. Had it come before that one, another may have run.
+		if a.Earlier == nil || a.Earlier.state != held || w.arrived < a.Earlier.arrived {
 			w.state = sharing
-			s.watch(w, w.due)
-			s.host.Share(w)
+			if s.watch(w, w.due); s.memory > s.memoryMost*(1+workPart)/2 { // no room to wait in
+				s.breakOff(w)
+			} else {
+				s.host.Share(w)
+			}
 			return w
 		}
 		s.decline(a.Earlier, 0, false)
@@ -352,7 +353,7 @@
 	}
 }
 
-// stopRun saves the rest of a run that nobody needs; one with an effect goes on to its end.
+// stopRun ends a run that nobody needs; one with an effect goes on.
 func (s *Server) stopRun(w *WorkItem) {
 	if w.state == running && s.stops && w.category.effect == Harmless {
 		s.host.Stop(w)
@@ -374,7 +375,6 @@
 	s.host.Health(false, true)
 }
 
-// Woken brings the gauges.
 func (s *Server) Woken(g Gauges) {
 	s.wakes = forever
 	s.onCores += (g.OnCores - s.onCores) * smoothing
@@ -392,7 +392,7 @@
 	}
 }
 
-// Decide ends a batch: all that has become known is answered, declined, run or held.
+// Decide ends a batch.
 func (s *Server) Decide() {
 	s.experiment()
 	s.weigh()
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -98,35 +98,17 @@
 	d := &s.deployment
 	switch word[0] {
 	case "server":
-		f := s.fields(word[1:], where)
-		for key, v := range f {
-			switch key {
-			case "cores":
-				d.Cores = int(v)
-			case "memory":
-				d.Memory = v
-			case "entry":
-				d.EntryKb = v
-			case "stops":
-				d.Stops = v == 1
-			case "share":
-				d.SharedBelow, d.CallShare = true, v
-			case "linger":
-				d.Linger = Tenths(v * 10)
-			case "coldfrom":
-				d.Cold, d.ColdFrom = true, v
-			case "coldfor":
-				d.ColdFor = Tenths(v * 10)
-			case "crowd":
-				d.Crowd = v
-			case "tongue":
-				d.Tongue = Tongue(v)
-			case "worst":
-				d.CategoryWeight = v
-			default:
-				s.Fail("unknown field", where)
-			}
-		}
+		s.set(word[1:], where, map[string]func(float64){
+			"cores":    func(v float64) { d.Cores = int(v) },
+			"memory":   func(v float64) { d.Memory = v },
+			"entry":    func(v float64) { d.EntryKb = v },
+			"stops":    func(v float64) { d.Stops = v == 1 },
+			"share":    func(v float64) { d.SharedBelow, d.CallShare = true, v },
+			"linger":   func(v float64) { d.Linger = Tenths(v * 10) },
+			"coldfrom": func(v float64) { d.Cold, d.ColdFrom = true, v },
+			"coldfor":  func(v float64) { d.ColdFor = Tenths(v * 10) },
+			"worst":    func(v float64) { d.CategoryWeight = v },
+		})
 	case "category":
 		f := s.fields(word[2:], where)
 		effect := map[string]Effect{"harmless": Harmless, "stamped": Stamped, "oneshot": OneShot}
@@ -183,26 +165,13 @@
 			fields = append(fields, r)
 		}
 	}
-	for key, v := range s.fields(fields, where) {
-		switch key {
-		case "category":
-			a.Category = int(v)
-		case "tenant":
-			a.Tenant = int(v)
-		case "caller":
-			a.Caller = int(v)
-		case "left":
-			a.Left = Tenths(v * 10)
-		case "unread":
-			a.Unread = Tenths(v * 10)
-		case "kb":
-			a.HeldKb = v
-		case "again":
-			a.Again = v == 1
-		default:
-			s.Fail("unknown field", where)
-		}
-	}
+	s.set(fields, where, map[string]func(float64){
+		"category": func(v float64) { a.Category = int(v) },
+		"left":     func(v float64) { a.Left = Tenths(v * 10) },
+		"unread":   func(v float64) { a.Unread = Tenths(v * 10) },
+		"kb":       func(v float64) { a.HeldKb = v },
+		"again":    func(v float64) { a.Again = v == 1 },
+	})
 	for _, name := range names {
 		a.Door = uint64(len(s.names) + 1)
 		s.names[a.Door] = name
@@ -216,6 +185,13 @@
 	return Tenths(v * 10)
 }
 
+func (s *stage) set(words []string, where string, set map[string]func(float64)) {
+	for key, v := range s.fields(words, where) {
+		s.Contains(set, key, where)
+		set[key](v)
+	}
+}
+
 func (s *stage) fields(words []string, where string) map[string]float64 {
 	f := map[string]float64{}
 	for _, w := range words {
