--- a/admission/host.go
+++ b/admission/host.go
@@ -80,7 +80,6 @@
 	Category int
 	Tenant   int
 	Caller   int
-	Rank     float64
 	HeldKb   float64
 	Unread   Tenths    // time since it reached the machine
 	Left     Tenths    // time its caller still waits; 0 where that is not told
@@ -94,8 +93,6 @@
 type Gauges struct {
 	CoreUse float64 // share of the cores busy, over the last half second
 	OnCores float64 // all that wants a core now
-	Memory  float64 // share of the memory in use
-	Links   float64 // open connections
 }
 
 // Host is what the embedding server does for the module. No call may call back.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -233,8 +233,8 @@
 	if !f.has("Xid") {
 		return errors.New("INBOUND has no Xid")
 	}
-	a := admission.Arrival{Door: f.whole("Xid"), Category: int(f.whole("Band")), Tenant: int(f.whole("Owner")),
-		Caller: int(f.whole("OriginPeer")), Rank: f.number("Precedence"), HeldKb: f.number("HeldKb"),
+	a := admission.Arrival{Door: f.whole("Xid"), Category: f.place("Band"), Tenant: f.place("Owner"),
+		Caller: f.place("OriginPeer"), HeldKb: f.number("HeldKb"),
 		Unread: f.time("Lay", down), Left: f.time("TimeLeft", down), Again: f.flag("Retry")}
 	if f.number("TimeLeft") != 0 {
 		a.Left = max(1, a.Left) // told, however little; none would mean that it was not
@@ -264,10 +264,6 @@
 			g.CoreUse = v
 		case "on_cores":
 			g.OnCores = v
-		case "heap_share":
-			g.Memory = v
-		case "links":
-			g.Links = v
 		}
 	}
 	i.server.Woken(g)
@@ -328,6 +324,16 @@
 	return v
 }
 
+// place is a place in a list or the number of a caller; no list is as long as the limit.
+func (f *fields) place(key string) int {
+	v := f.whole(key)
+	if v >= 1<<20 {
+		f.err = fmt.Errorf("%s: %s=%d is out of range", f.name, key, v)
+		return 0
+	}
+	return int(v)
+}
+
 func (f *fields) flag(key string) bool {
 	switch text := f.values[key]; text {
 	case "", "0":
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -73,13 +73,14 @@
 		"MARK T=1\nINBOUND Xid=1\nEOF_BATCH\n":    "before any FOR",
 		"MARK T=1\nFOR Server=a\nKILL\nEOF_BATCH": "never created",
 		"MARK T=1": "middle of a line",
-		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=-5\nEOF_BATCH\n":            "not a whole number",
-		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 Retry=2\nEOF_BATCH\n":     "neither 1 nor 0",
-		start + "MARK T=11\nFOR Server=server-1\nENDED\nEOF_BATCH\n":                     "no Xid",
-		start + "MARK T=11\nFOR Server=server-1\nINBOUND junk\nEOF_BATCH\n":              "not name=value",
-		start + "MARK T=11\nFOR Server=server-1\nDEADLINE_HIT Usage=1,z\nEOF_BATCH\n":    "not a number",
-		"MARK T=1\nFOR Server=a\nCREATE Env={\nEOF_BATCH\n":                              "can't be read",
-		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5\nINBOUND Xid=5 Lay=NaN\n": "not a number",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=-5\nEOF_BATCH\n":                       "not a whole number",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 Retry=2\nEOF_BATCH\n":                "neither 1 nor 0",
+		start + "MARK T=11\nFOR Server=server-1\nENDED\nEOF_BATCH\n":                                "no Xid",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND junk\nEOF_BATCH\n":                         "not name=value",
+		start + "MARK T=11\nFOR Server=server-1\nDEADLINE_HIT Usage=1,z\nEOF_BATCH\n":               "not a number",
+		"MARK T=1\nFOR Server=a\nCREATE Env={\nEOF_BATCH\n":                                         "can't be read",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5\nINBOUND Xid=5 Lay=NaN\n":            "not a number",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 OriginPeer=99999999999\nEOF_BATCH\n": "out of range",
 	} {
 		out, err := serve(text)
 		require.ErrorContains(t, err, message, text)
