--- a/admission/admission.go
+++ b/admission/admission.go
@@ -172,7 +172,7 @@
 	graceEnd, stop                         Tenths // the grace itself before the notice
 
 	tongue               Tongue
-	said                 float64
+	said, turned         float64 // the value; the share of work items declined, of late
 	look, maxAway, wakes Tenths
 }
 
@@ -523,8 +523,7 @@
 		}
 		s.leaveHold(best)
 		best.state, best.began, best.quiet = running, s.now, s.onCores <= s.cores
-		s.memory += more
-		s.inPool++
+		s.memory, s.inPool, s.turned = s.memory+more, s.inPool+1, s.turned*(1-smoothing/few)
 		s.cur.in++
 		s.watch(best, best.due)
 		s.host.Run(best)
@@ -664,7 +663,7 @@
 	if s.leaving {
 		away = forever
 	}
-	w.answered = true
+	w.answered, s.turned = true, s.turned+(1-s.turned)*smoothing/few
 	s.lost.add(s.now - w.arrived)
 	s.host.Decline(w, min(away, s.maxAway), nowhereElse)
 	s.finish(w)
@@ -708,13 +707,13 @@
 	}
 }
 
-// tell says how much more this server can take, in the tongue that callers understand.
+// tell says how much more this server can take, in the callers' tongue: work items, or by the share declined.
 func (s *Server) tell() {
-	value := map[Tongue]float64{Allowed: math.Round(s.allowed()*few) / few, Odds: 1}[s.tongue]
+	value := map[Tongue]float64{Allowed: s.allowed(), Rank: s.turned, Odds: 1 - s.turned}[s.tongue]
 	if s.leaving {
 		value = map[Tongue]float64{Rank: 1}[s.tongue]
 	}
-	if value != s.said && s.tongue != Mute {
+	if value = math.Round(value*few) / few; value != s.said && s.tongue != Mute {
 		s.said = value
 		s.host.Say(value)
 	}
