--- a/admission/admission.go
+++ b/admission/admission.go
@@ -288,7 +288,9 @@
 		return
 	}
 	s.callOver(how == Unknown)
-	s.callTook.add(took)
+	if s.callTook.n < few || s.callLately <= slowCalls*float64(s.callTook.at(0.25)) {
+		s.callTook.add(took) // a jam does not teach what is quick
+	}
 	s.callLately += (float64(took) - s.callLately) * smoothing
 	w.state = standing
 	switch {
@@ -353,7 +355,6 @@
 	}
 }
 
-// stopRun ends a run that nobody needs; one with an effect goes on.
 func (s *Server) stopRun(w *WorkItem) {
 	if w.state == running && s.stops && w.category.effect == Harmless {
 		s.host.Stop(w)
@@ -610,7 +611,7 @@
 	for _, w := range s.stood {
 		switch {
 		case w.state != standing || w.answered || w.gone:
-		case s.now+s.callTook.at(0.5) > w.worthUntil() && s.callsIn > 0:
+		case s.now+Tenths(s.callLately) > w.worthUntil() && s.callsIn > 0:
 			// The check of the budget at a call. One call is always let through, to learn of a recovery.
 			s.breakOff(w)
 		case !s.callRoom() || w.notYet > s.now:
@@ -709,7 +710,7 @@
 
 // tell says how much more this server can take, in the callers' tongue: work items, or by the share declined.
 func (s *Server) tell() {
-	value := map[Tongue]float64{Allowed: s.allowed(), Rank: s.turned, Odds: 1 - s.turned}[s.tongue]
+	value := map[Tongue]float64{Allowed: max(1.0/few, s.allowed()), Rank: s.turned, Odds: 1 - s.turned}[s.tongue]
 	if s.leaving {
 		value = map[Tongue]float64{Rank: 1}[s.tongue]
 	}
