--- a/admission/admission.go
+++ b/admission/admission.go
@@ -611,7 +611,7 @@
 	for _, w := range s.stood {
 		switch {
 		case w.state != standing || w.answered || w.gone:
-		case s.now+Tenths(s.callLately) > w.worthUntil() && s.callsIn > 0:
+		case s.now+Tenths(s.callLately*math.Ln2) > w.worthUntil() && s.callsIn > 0:
 			// The check of the budget at a call. One call is always let through, to learn of a recovery.
 			s.breakOff(w)
 		case !s.callRoom() || w.notYet > s.now:
