--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -10,7 +10,7 @@
 )
 
 // create starts an instance from the wire's settings. Keys that are not known here are passed over.
-func (i *instance) create(f *fields, now admission.Tenths) error {
+func (i *instance) create(f *fields) error {
 	if !f.has("Env") {
 		return errors.New("CREATE has no Env")
 	}
@@ -61,10 +61,10 @@
 			Contract: down(c.OnTime), Expiry: down(c.HardLimit), Window: up(c.Window),
 			Effect: effects[c.Effect]})
 	}
-	i.gauges, i.now = info.Meters, now
+	i.gauges = info.Meters
 	i.items = map[uint64]*admission.WorkItem{}
 	i.out.Reset()
-	i.server = admission.New(d, (*host)(i), now)
+	i.server = admission.New(d, (*host)(i), i.now)
 	return nil
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -147,30 +147,20 @@
 	if i == nil {
 		return fmt.Errorf("%s comes before any FOR", f.name)
 	}
-	if f.name == "CREATE" {
-		if !i.events {
-			i.events = true
-			d.busy = append(d.busy, i)
-		}
-		return i.create(f, d.now)
+	apply, known := kinds[f.name]
+	if !known {
+		log.Printf("line %d: event %q is not known, passed over", d.line, f.name)
+		return nil
 	}
-	if i.server == nil {
-		if _, known := kinds[f.name]; !known {
-			log.Printf("line %d: event %q is not known, passed over", d.line, f.name)
-			return nil
-		}
+	if i.server == nil && f.name != "CREATE" {
 		return fmt.Errorf("%s for %s, which was never created or is dead", f.name, i.name)
 	}
 	if !i.events {
 		i.events = true
 		d.busy = append(d.busy, i)
 	}
-	i.now = d.now
-	i.server.At(d.now)
-	apply, known := kinds[f.name]
-	if !known {
-		log.Printf("line %d: event %q is not known, passed over", d.line, f.name)
-		return nil
+	if i.now = d.now; i.server != nil {
+		i.server.At(d.now)
 	}
 	if err := apply(i, f); err != nil {
 		return err
@@ -185,6 +175,7 @@
 		i.out.Reset()
 		return nil
 	},
+	"CREATE":    (*instance).create,
 	"INBOUND":   (*instance).inbound,
 	"WITHDRAWN": withItem(func(w *admission.WorkItem, _ *fields) error { w.Gone(); return nil }),
 	"READY_TO_CALL": withItem(func(w *admission.WorkItem, _ *fields) error {
