--- a/admission/admission.go
+++ b/admission/admission.go
@@ -178,13 +178,12 @@
 
 // New makes the Server of one app server that starts now.
 func New(d Deployment, host Host, now Tenths) *Server {
-	s := &Server{host: host, now: now, cores: float64(d.Cores),
-		pool: float64(d.Cores), step: max(1, aggression*float64(d.Callers)), trip: firstTrip,
-		memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor, crowdMost: d.Crowd, coldFrom: 1,
-		below: d.SharedBelow, stops: d.Stops, callsMost: d.CallShare * callsPart,
-		callsAt: now, callsOver: float64(d.CallsOver),
-		linger: d.Linger, margin: 2*d.Period + 1, graceEnd: d.Grace - 2*d.Period,
-		stop: forever, tongue: d.Tongue, said: -1, maxAway: d.MaxAway, wakes: forever}
+	s := &Server{host: host, now: now, cores: float64(d.Cores), pool: float64(d.Cores), trip: firstTrip,
+		step: max(1, aggression*float64(d.Callers)), memoryMost: d.Memory, entryKb: d.EntryKb,
+		runFactor: d.RunFactor, crowdMost: d.Crowd, coldFrom: 1, below: d.SharedBelow, stops: d.Stops,
+		callsMost: d.CallShare * callsPart, callsAt: now, callsOver: float64(d.CallsOver), linger: d.Linger,
+		margin: 2*d.Period + 1, stop: forever, graceEnd: d.Grace - 2*d.Period, tongue: d.Tongue, said: -1,
+		maxAway: d.MaxAway, wakes: forever}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, d.ColdFor, now+d.ColdFor
 	}
@@ -442,8 +441,9 @@
 
 // queueAhead reads the wait of the queue that would run before w: that of the oldest held there.
 func (s *Server) queueAhead(w *WorkItem) Tenths {
+	value := s.value(w)
 	for _, h := range s.hold {
-		if h.place >= 0 && s.value(h) >= s.value(w) {
+		if h.place >= 0 && s.value(h) >= value {
 			return s.now - h.arrived
 		}
 	}
