The wish not to try elsewhere goes by the fleet's size, and later tries are a slower mean

A walk reads a try at up to one server in 25 more, so it costs more in a larger fleet: from two servers' part of it on, later tries or declines here speak for all. Declines while leaving no longer ask to stay away for as long as can be.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -31,7 +31,7 @@
 	fairChance = 0.9      // quantile of recent runs that must still fit for a held work item to be kept
 	unreadPart = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
 	alike      = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
-	wishPart   = 1.0 / 16 // share of later tries or declines that speaks for all servers
+	wishPart   = 2        // servers' part of a fleet: from that share on, later tries or declines speak for all
 	linked     = 4        // idle connections for each core, were all callers to have one open
 	smoothing  = 1.0 / 8  // weight of the newest in a running mean
 	few        = 8        // counts that say nothing yet
@@ -169,7 +169,8 @@
 	most := d.CallShare * callsPart
 	s.calls = calls{shared: d.SharedBelow, most: most, allowed: most, step: 1 / callStep, at: now,
 		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale)}
-	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1, known: map[int]*caller{}}
+	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1,
+		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]*caller{}}
 	host.CloseIdle(min(d.IdleMost, Tenths(linked*cores/many*float64(d.IdleMost))))
 	host.Health(true, true)
 	return s
@@ -484,9 +485,6 @@
 
 // decline answers a work item that never ran here.
 func (s *Server) decline(w *WorkItem, away Tenths, nowhereElse bool) {
-	if s.leaving {
-		away = forever
-	}
 	w.answered = true
 	toward(&s.callers.turned, 1, smoothing/few)
 	s.host.Decline(w, min(away, s.callers.maxAway), nowhereElse || s.callers.declinedAnywhere())
@@ -688,6 +686,7 @@
 	sum, squares float64 // of the work items taken of late, by caller
 	turned       float64 // share of work items declined, of late
 	laterTries   float64 // share of later tries, of late
+	wishFrom     float64 // and from where these are taken to be so on all servers
 	pace         float64 // times of runs of late, in those of quiet ones
 }
 
@@ -715,7 +714,7 @@
 		}
 	}
 	odd := a.Left > 0 && who.odd(waits)
-	toward(&c.laterTries, map[bool]float64{true: 1}[odd || a.Again], smoothing)
+	toward(&c.laterTries, map[bool]float64{true: 1}[odd || a.Again], smoothing/few)
 	return odd
 }
 
@@ -738,4 +737,4 @@
 // tries come, or much is turned away though runs take no longer than in quiet. Another try would then cost
 // reading and bring nothing. Guards against tries that walk through a large fleet, whatever started them;
 // harms where this server alone is short of room though its runs are not slow.
-func (c *callers) declinedAnywhere() bool { return max(c.laterTries, c.turned) > c.pace*wishPart }
+func (c *callers) declinedAnywhere() bool { return max(c.laterTries, c.turned) > c.pace*c.wishFrom }
--- a/admission/host.go
+++ b/admission/host.go
@@ -49,6 +49,7 @@
 type Deployment struct {
 	Categories []Category
 	Callers    int
+	Servers    int // of the fleet, at this start
 	Cores      int
 	Memory     float64 // kilobytes
 	RunFactor  float64 // memory of a running work item over that of a held one
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -109,6 +109,7 @@
 			"linger":   func(v float64) { d.Linger = Tenths(v * 10) },
 			"coldfrom": func(v float64) { d.Cold, d.ColdFrom = true, v },
 			"coldfor":  func(v float64) { d.ColdFor = Tenths(v * 10) },
+			"servers":  func(v float64) { d.Servers = int(v) },
 			"callers":  func(v float64) { d.Callers = int(v) },
 			"idle":     func(v float64) { d.IdleMost = Tenths(v * 10) },
 			"tongue":   func(v float64) { d.Tongue = Tongue(v) },
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -32,8 +32,9 @@
 			MaxRetryAfter float64
 			RetryAfter    bool
 		}
-		Period float64
-		Rules  struct {
+		Period  float64
+		Servers int
+		Rules   struct {
 			Cold, ColdFrom, DrainGrace, TipMultiple float64
 		}
 	}
@@ -44,7 +45,7 @@
 	if len(env.Categories) == 0 || info.Cores < 1 {
 		return errors.New("CREATE: the settings name no category or no core")
 	}
-	d := admission.Deployment{Callers: info.Callers, Cores: info.Cores,
+	d := admission.Deployment{Callers: info.Callers, Servers: env.Servers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: up(env.Period),
 		Grace: down(rules.DrainGrace), Cold: info.Cold,
 		ColdFrom: rules.ColdFrom, ColdFor: up(rules.Cold), Crowd: rules.TipMultiple,
