--- a/admission/admission.go
+++ b/admission/admission.go
@@ -32,7 +32,7 @@
 	unreadPart = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
 	alike      = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
 	wishPart   = 2        // servers' part of a fleet: from that share on, later tries or declines speak for all
-	linked     = 4        // idle connections for each core, were all callers to have one open
+	linked     = 4        // callers for each core whose idle connections are worth keeping
 	smoothing  = 1.0 / 8  // weight of the newest in a running mean
 	few        = 8        // counts that say nothing yet
 	enough     = 256      // counts at which what is counted is halved
@@ -171,7 +171,7 @@
 		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale)}
 	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1,
 		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]*caller{}}
-	host.CloseIdle(min(d.IdleMost, Tenths(linked*cores/many*float64(d.IdleMost))))
+	host.CloseIdle(Tenths(math.Ceil(math.Pow(min(1, linked*cores/many), 2) * float64(d.IdleMost))))
 	host.Health(true, true)
 	return s
 }
