The hold is ordered by the chance that a run still fits its contract time

Before, a work item was worth all until the median run no longer fit; now the share of runs that fit counts, so an item with little time left makes way.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -23,7 +23,6 @@
 	lookPart   = 1.0 / 40 // gauges are read this often in the shortest contract time, while work is in hand
 	crowdPart  = 0.9      // part of the crowd the server survives that may be on the cores
 	workPart   = 0.9      // part of the memory up to which runs are begun and stamps are remembered
-	heldPart   = 0.95     // and up to which work items are held
 	callsPart  = 0.9      // part of the share of calls in hand that is used
 	slowCalls  = 4        // calls are slow where they take so many times what quick ones take
 	callStep   = 0.75     // and then the calls in hand change by this
@@ -74,6 +73,18 @@
 	return 0
 }
 
+// under gives the share of all counted that stays under t; all while nothing is known.
+func (s *spread) under(t Tenths) float64 {
+	sum := 0.0
+	for i, c := range s.count {
+		sum += c * max(0, min(1, float64(t-Tenths(i)*s.width)/float64(s.width)))
+	}
+	if s.n == 0 {
+		return 1
+	}
+	return sum / s.n
+}
+
 // category is what decisions need of one kind of work item.
 type category struct {
 	gain, lateShare          float64
@@ -165,7 +176,6 @@
 	cores, many := float64(d.Cores), float64(max(1, d.Callers))
 	s.pool = pool{size: cores, cores: cores, step: max(1, aggression*many), trip: firstTrip,
 		contract: float64(shortest)}
-	s.pool.open(now)
 	most := d.CallShare * callsPart
 	s.calls = calls{shared: d.SharedBelow, most: most, allowed: most, step: 1 / callStep, at: now,
 		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale)}
@@ -376,16 +386,13 @@
 
 // value orders the hold: what a start now is worth, for the time that such runs take.
 func (w *WorkItem) value() float64 {
-	c, run := w.category, w.category.runs.at(0.5)
-	v := c.gain / float64(max(c.runs.width, run))
-	if w.s.now+run > w.contract {
-		v *= c.lateShare
-	}
-	return v
+	c := w.category
+	fits := c.runs.under(w.contract - w.s.now)
+	return c.gain * (fits + (1-fits)*c.lateShare) / float64(max(c.runs.width, c.runs.at(0.5)))
 }
 
 // tight says that there is no room left to hold more.
-func (s *Server) tight() bool { return s.memory > s.memoryMost*heldPart }
+func (s *Server) tight() bool { return s.memory > s.memoryMost*(1+workPart)/2 }
 
 // admit answers at once what must not be held, and has stamps remembered before they can run.
 func (s *Server) admit(w *WorkItem) {
@@ -531,20 +538,21 @@
 
 // tell says how much more this server can take, in the callers' tongue: work items, or by the share declined.
 func (s *Server) tell() {
-	value := 0.0
-	switch c := &s.callers; {
-	case c.tongue == Mute || s.leaving && c.tongue != Rank:
-	case s.leaving:
+	c, value := &s.callers, 0.0
+	switch {
+	case s.leaving && c.tongue == Rank:
 		value = 1
+	case s.leaving:
 	case c.tongue == Rank:
 		value = c.turned
 	case c.tongue == Odds:
 		value = 1 - c.turned
 	default:
-		value = max(1.0/few, s.pool.invites()*c.part())
+		part := min(1, c.squares/max(1, c.sum*c.sum)) // an equal one for each active caller
+		value = max(1.0/few, s.pool.invites()*part)
 	}
-	if value = math.Round(value*few) / few; value != s.callers.said && s.callers.tongue != Mute {
-		s.callers.said = value
+	if value = math.Round(value*few) / few; value != c.said && c.tongue != Mute {
+		c.said = value
 		s.host.Say(value)
 	}
 }
@@ -564,11 +572,6 @@
 
 type window struct{ in, out, drops, calls float64 } // what one experiment counted
 
-func (p *pool) open(now Tenths) {
-	p.counts, p.end = now+Tenths(p.trip), now+Tenths(trips*p.trip)
-	p.cur, p.full = window{}, false
-}
-
 // experiment moves the pool by what the last window brought, in equal steps up and down. Where a window is
 // over, it gives the rate of calls in it.
 func (p *pool) experiment(now Tenths) (calls float64, over bool) {
@@ -591,8 +594,8 @@
 			p.size += p.step
 		}
 	}
-	p.before = cur
-	p.open(now)
+	p.before, p.cur, p.full = cur, window{}, false
+	p.counts, p.end = now+Tenths(p.trip), now+Tenths(trips*p.trip)
 	return cur.calls, true
 }
 
@@ -730,9 +733,6 @@
 	return c.votes > few
 }
 
-// part is an equal part for each active caller.
-func (c *callers) part() float64 { return min(1, c.squares/max(1, c.sum*c.sum)) }
-
 // declinedAnywhere says whether other servers, as far as this one can tell, decline as it does: many later
 // tries come, or much is turned away though runs take no longer than in quiet. Another try would then cost
 // reading and bring nothing. Guards against tries that walk through a large fleet, whatever started them;
