--- a/admission/admission.go
+++ b/admission/admission.go
@@ -180,7 +180,7 @@
 	s.calls = calls{shared: d.SharedBelow, most: most, allowed: most, step: 1 / callStep, at: now,
 		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale)}
 	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1,
-		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]*caller{}}
+		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]caller{}}
 	host.CloseIdle(Tenths(math.Ceil(math.Pow(min(1, linked*cores/many), 2) * float64(d.IdleMost))))
 	host.Health(true, true)
 	return s
@@ -247,10 +247,7 @@
 		s.pool.atCalls--
 		w.state = running
 	case how == Unseen || w.category.effect == Harmless && !w.answered && !w.gone:
-		w.notYet = s.now + s.look
-		if how == Unseen { // full or away: ever longer
-			w.notYet = max(w.notYet, s.now+(s.now-w.began)/2)
-		}
+		w.notYet = s.now + max(s.look, (s.now-w.began)/2) // ever longer
 		s.stood = append(s.stood, w)
 	default:
 		s.breakOff(w)
@@ -685,8 +682,9 @@
 	tongue       Tongue
 	said         float64
 	maxAway      Tenths
-	known        map[int]*caller
+	known        map[int]caller
 	sum, squares float64 // of the work items taken of late, by caller
+	all          caller  // as if all were one
 	turned       float64 // share of work items declined, of late
 	laterTries   float64 // share of later tries, of late
 	wishFrom     float64 // and from where these are taken to be so on all servers
@@ -702,21 +700,23 @@
 // later books a work item with its caller and says whether it is a later try that waits for what is left.
 func (c *callers) later(a Arrival, waits float64) bool {
 	who := c.known[a.Caller]
-	if who == nil {
-		who = &caller{}
-		c.known[a.Caller] = who
+	odd := a.Left > 0 && who.odd(waits)
+	if all := a.Left > 0 && c.all.odd(waits); who.taken < few {
+		odd = all // too little is known of it
 	}
 	c.sum, c.squares = c.sum+1, c.squares+2*who.taken+1
-	if who.taken++; c.sum >= enough {
+	who.taken++
+	c.known[a.Caller] = who
+	if c.sum >= enough {
 		c.sum, c.squares = c.sum/2, c.squares/4
 		for id, k := range c.known {
-			if k.taken /= 2; k.taken < 1.0/enough {
-				c.squares -= k.taken * k.taken
+			if k.taken /= 2; k.taken >= 1.0/enough {
+				c.known[id] = k
+			} else {
 				delete(c.known, id)
 			}
 		}
 	}
-	odd := a.Left > 0 && who.odd(waits)
 	toward(&c.laterTries, map[bool]float64{true: 1}[odd || a.Again], smoothing/few)
 	return odd
 }
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -173,6 +173,7 @@
 	s.set(fields, where, map[string]func(float64){
 		"category": func(v float64) { a.Category = int(v) },
 		"left":     func(v float64) { a.Left = Tenths(v * 10) },
+		"caller":   func(v float64) { a.Caller = int(v) },
 		"unread":   func(v float64) { a.Unread = Tenths(v * 10) },
 		"kb":       func(v float64) { a.HeldKb = v },
 		"again":    func(v float64) { a.Again = v == 1 },
