--- a/admission/admission.go
+++ b/admission/admission.go
@@ -31,7 +31,7 @@
 	unreadPart = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
 	alike      = 0.01     // tries whose waits differ by less, as a share of the expiry, wait alike
 	wishPart   = 2        // servers' part of a fleet: from that share on, later tries or declines speak for all
-	linked     = 4        // callers for each core whose idle connections are worth keeping
+	linked     = 8        // callers for each core whose idle connections are worth keeping
 	smoothing  = 1.0 / 8  // weight of the newest in a running mean
 	few        = 8        // counts that say nothing yet
 	enough     = 256      // counts at which what is counted is halved
@@ -721,13 +721,13 @@
 	return odd
 }
 
-// odd says whether a try waits unlike its caller's others of late: a caller's first tries all wait alike.
+// odd says whether a try waits unlike its caller's others of late: first tries wait alike, and are two in three.
 func (c *caller) odd(waits float64) bool {
 	if math.Abs(waits-c.waits) <= alike {
 		c.votes = min(c.votes+1, enough)
 		return false
 	}
-	if c.votes--; c.votes < 0 {
+	if c.votes -= 2; c.votes < 0 {
 		c.waits, c.votes = waits, 1
 	}
 	return c.votes > few
