--- a/admission/admission.go
+++ b/admission/admission.go
@@ -721,7 +721,7 @@
 	return odd
 }
 
-// odd says whether a try waits unlike its caller's others of late: first tries wait alike, and are two in three.
+// odd says whether a try waits unlike its caller's others of late: first tries wait alike, two in three.
 func (c *caller) odd(waits float64) bool {
 	if math.Abs(waits-c.waits) <= alike {
 		c.votes = min(c.votes+1, enough)
