--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"thistlequay/admission"
@@ -45,6 +46,15 @@
 	if len(env.Categories) == 0 || info.Cores < 1 {
 		return errors.New("CREATE: the settings name no category or no core")
 	}
+	figures := []float64{info.CallShare, info.CallsOver, info.EntryKb, info.KeepaliveMax, info.Linger,
+		info.MemoryKb, info.RunFactor, float64(info.Callers), float64(info.Cores), env.Limits.MaxRetryAfter, env.Period,
+		float64(env.Servers), rules.Cold, rules.ColdFrom, rules.DrainGrace, rules.TipMultiple}
+	for _, c := range env.Categories {
+		figures = append(figures, c.HardLimit, c.LateWorth, c.OnTime, c.Worth, c.Window)
+	}
+	if slices.Min(figures) < 0 || slices.Max(figures) > most {
+		return errors.New("CREATE: a figure of the settings is out of range")
+	}
 	d := admission.Deployment{Callers: info.Callers, Servers: env.Servers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: up(env.Period),
 		Grace: down(rules.DrainGrace), Cold: info.Cold,
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -233,6 +233,9 @@
 	if earlier := f.whole("Forerunner"); earlier != 0 {
 		a.Repeats, a.Earlier = true, i.items[earlier]
 	}
+	if a.HeldKb < 0 {
+		return errors.New("INBOUND: HeldKb is out of range")
+	}
 	if f.err != nil {
 		return f.err
 	}
@@ -292,6 +295,9 @@
 
 func (f *fields) has(key string) bool { return f.values[key] != "" }
 
+// most is more than any number on the wire can mean: thirty years in milliseconds.
+const most = 1e12
+
 func (f *fields) number(key string) float64 {
 	text := f.values[key]
 	if text == "" {
@@ -302,6 +308,10 @@
 		f.err = fmt.Errorf("%s: %s=%q is not a number", f.name, key, text)
 		return 0
 	}
+	if math.Abs(v) > most {
+		f.err = fmt.Errorf("%s: %s=%q is out of range", f.name, key, text)
+		return 0
+	}
 	return v
 }
 
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -78,6 +78,10 @@
 		start + "MARK T=11\nFOR Server=server-1\nDEADLINE_HIT Usage=1,z\nEOF_BATCH\n":               "not a number",
 		"MARK T=1\nFOR Server=a\nCREATE Env={\nEOF_BATCH\n":                                         "can't be read",
 		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 OriginPeer=99999999999\nEOF_BATCH\n": "out of range",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 TimeLeft=1e300\nEOF_BATCH\n":         "out of range",
+		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 HeldKb=-1\nEOF_BATCH\n":              "out of range",
+		strings.Replace(start, `"MemoryKb":1e6`, `"MemoryKb":-1`, 1):                                "out of range",
+		strings.Replace(start, `"OnTime":50.0`, `"OnTime":1e200`, 1):                                "out of range",
 	} {
 		out, err := serve(text)
 		require.ErrorContains(t, err, message, text)
