--- a/admission/admission.go
+++ b/admission/admission.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
 	"math"
 	"slices"
 )
@@ -545,8 +546,7 @@
 	case c.tongue == Odds:
 		value = 1 - c.turned
 	default:
-		part := min(1, c.squares/max(1, c.sum*c.sum)) // an equal one for each active caller
-		value = max(1.0/few, s.pool.invites()*part)
+		value = max(1.0/few, s.pool.invites()*min(1, c.squares/max(1, c.sum*c.sum))) // each active one's part
 	}
 	if value = math.Round(value*few) / few; value != c.said && c.tongue != Mute {
 		c.said = value
@@ -710,14 +710,14 @@
 	if c.sum >= enough {
 		c.sum, c.squares = c.sum/2, c.squares/4
 		for id, k := range c.known {
-			if k.taken /= 2; k.taken >= 1.0/enough {
-				c.known[id] = k
-			} else {
-				delete(c.known, id)
-			}
+			k.taken /= 2
+			c.known[id] = k
 		}
+		maps.DeleteFunc(c.known, func(_ int, k caller) bool { return k.taken < 1.0/enough })
+	}
+	if toward(&c.laterTries, 0, smoothing/few); odd || a.Again {
+		c.laterTries += smoothing / few
 	}
-	toward(&c.laterTries, map[bool]float64{true: 1}[odd || a.Again], smoothing/few)
 	return odd
 }
 
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -47,8 +47,9 @@
 		return errors.New("CREATE: the settings name no category or no core")
 	}
 	figures := []float64{info.CallShare, info.CallsOver, info.EntryKb, info.KeepaliveMax, info.Linger,
-		info.MemoryKb, info.RunFactor, float64(info.Callers), float64(info.Cores), env.Limits.MaxRetryAfter, env.Period,
-		float64(env.Servers), rules.Cold, rules.ColdFrom, rules.DrainGrace, rules.TipMultiple}
+		info.MemoryKb, info.RunFactor, float64(info.Callers), float64(info.Cores),
+		float64(env.Servers), env.Limits.MaxRetryAfter, env.Period,
+		rules.Cold, rules.ColdFrom, rules.DrainGrace, rules.TipMultiple}
 	for _, c := range env.Categories {
 		figures = append(figures, c.HardLimit, c.LateWorth, c.OnTime, c.Worth, c.Window)
 	}
