--- a/admission/admission.go
+++ b/admission/admission.go
@@ -332,7 +332,7 @@
 // Decide ends a batch.
 func (s *Server) Decide() {
 	if rate, over := s.pool.experiment(s.now); over {
-		s.calls.size(rate, s.pool.before.calls)
+		s.calls.size(rate)
 	}
 	s.lastMoments()
 	s.makeCalls()
@@ -630,7 +630,7 @@
 	shared              bool
 	in                  int
 	most, allowed, step float64 // in hand in the mean: the most, what is allowed now, and its next change
-	left, span          float64 // what is left of that; the span of the mean
+	left, span, rate    float64 // what is left of that; span of the mean; calls well in the window before
 	at, linger          Tenths
 	lingering           []Tenths // ends of calls given up
 	quick               spread   // times of calls while they were not slow
@@ -648,13 +648,13 @@
 
 // size puts calls in hand to the marginal test while they are slow, within the share and above a part of it.
 // Guards what lies below against a jam that feeds itself; harms a little where it is slow for another reason.
-func (c *calls) size(rate, before float64) {
+func (c *calls) size(rate float64) {
 	if !c.slow() {
 		c.step = 1 / callStep
-	} else if rate-before <= efficiency*(c.step-1)*before {
+	} else if rate-c.rate <= efficiency*(c.step-1)*c.rate {
 		c.step = 1 / c.step
 	}
-	c.allowed = max(c.most*(1-callStep), min(c.most, c.allowed*c.step))
+	c.rate, c.allowed = rate, max(c.most*(1-callStep), min(c.most, c.allowed*c.step))
 }
 
 // room keeps the mean of calls in hand, those given up included while they linger, within the share: what
--- a/admission/host.go
+++ b/admission/host.go
@@ -90,7 +90,6 @@
 type Gauges struct {
 	CoreUse float64 // share of the cores busy, over the last half second
 	OnCores float64 // all that wants a core now
-	Links   float64 // open connections
 }
 
 // Host is what the embedding server does for the module. No call may call back.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -258,8 +258,6 @@
 			g.CoreUse = v
 		case "on_cores":
 			g.OnCores = v
-		case "links":
-			g.Links = v
 		}
 	}
 	i.server.Woken(g)
