--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -1,13 +1,12 @@
 package simwire
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 
 	"thistlequay/admission"
+	"thistlequay/internal/deployment"
 )
 
 // create starts an instance from the wire's settings. Keys that are not known here are passed over.
@@ -15,75 +14,17 @@
 	if !f.has("Env") {
 		return errors.New("CREATE has no Env")
 	}
-	var env struct {
-		Categories []struct {
-			Effect                              string
-			HardLimit, LateWorth, OnTime, Worth float64
-			Window                              float64
-		}
-		FamilyInfo struct {
-			CallShare, CallsOver, EntryKb, KeepaliveMax float64
-			Linger, MemoryKb, RunFactor                 float64
-			Callers, Cores                              int
-			Cold                                        bool
-			Downstream, Halt, Say                       string
-			Meters                                      []string
-		}
-		Limits struct {
-			MaxRetryAfter float64
-			RetryAfter    bool
-		}
-		Period  float64
-		Servers int
-		Rules   struct {
-			Cold, ColdFrom, DrainGrace, TipMultiple float64
-		}
+	terms, err := deployment.Read([]byte(f.values["Env"]))
+	if err != nil {
+		return fmt.Errorf("CREATE: %w", err)
 	}
-	if err := json.Unmarshal([]byte(f.values["Env"]), &env); err != nil {
-		return fmt.Errorf("CREATE: the settings can't be read: %w", err)
-	}
-	info, rules := &env.FamilyInfo, &env.Rules
-	if len(env.Categories) == 0 || info.Cores < 1 {
-		return errors.New("CREATE: the settings name no category or no core")
-	}
-	figures := []float64{info.CallShare, info.CallsOver, info.EntryKb, info.KeepaliveMax, info.Linger,
-		info.MemoryKb, info.RunFactor, float64(info.Callers), float64(info.Cores),
-		float64(env.Servers), env.Limits.MaxRetryAfter, env.Period,
-		rules.Cold, rules.ColdFrom, rules.DrainGrace, rules.TipMultiple}
-	for _, c := range env.Categories {
-		figures = append(figures, c.HardLimit, c.LateWorth, c.OnTime, c.Worth, c.Window)
-	}
-	if slices.Min(figures) < 0 || slices.Max(figures) > most {
-		return errors.New("CREATE: a figure of the settings is out of range")
-	}
-	d := admission.Deployment{Callers: info.Callers, Servers: env.Servers, Cores: info.Cores,
-		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: up(env.Period),
-		Grace: down(rules.DrainGrace), Cold: info.Cold,
-		ColdFrom: rules.ColdFrom, ColdFor: up(rules.Cold), Crowd: rules.TipMultiple,
-		SharedBelow: info.Downstream == "common", CallShare: info.CallShare,
-		CallsOver: down(info.CallsOver), Linger: up(info.Linger), Tongue: tongues[info.Say],
-		IdleMost: down(info.KeepaliveMax), Stops: info.Halt == "drop"}
-	if env.Limits.RetryAfter {
-		d.MaxAway = down(env.Limits.MaxRetryAfter)
-	}
-	for _, c := range env.Categories {
-		d.Categories = append(d.Categories, admission.Category{Gain: c.Worth, LateShare: c.LateWorth,
-			Contract: down(c.OnTime), Expiry: down(c.HardLimit), Window: up(c.Window),
-			Effect: effects[c.Effect]})
-	}
-	i.gauges = info.Meters
+	i.terms = terms
 	i.items = map[uint64]*admission.WorkItem{}
 	i.out.Reset()
-	i.server = admission.New(d, (*host)(i), i.now)
+	i.server = admission.New(terms.Deployment, (*host)(i), i.now)
 	return nil
 }
 
-var tongues = map[string]admission.Tongue{
-	"min_rank": admission.Rank, "tokens": admission.Allowed, "bias": admission.Odds,
-}
-
-var effects = map[string]admission.Effect{"by_key": admission.Stamped, "once": admission.OneShot}
-
 // host writes what the server of an instance answers as lines of its reply.
 type host instance
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"thistlequay/admission"
+	"thistlequay/internal/deployment"
 )
 
 // instance is one simulated server, the ids of its work items and the reply that it is owed.
@@ -21,7 +22,7 @@
 	name   string
 	server *admission.Server
 	items  map[uint64]*admission.WorkItem
-	gauges []string
+	terms  *deployment.Terms
 	now    admission.Tenths
 	out    bytes.Buffer
 	events bool
@@ -89,7 +90,7 @@
 	if !f.has("T") {
 		return false, errors.New("MARK has no T")
 	}
-	d.now = f.time("T", down)
+	d.now = f.time("T", deployment.Down)
 	if f.err != nil {
 		return false, f.err
 	}
@@ -185,19 +186,19 @@
 	"CALLED": withItem(func(w *admission.WorkItem, f *fields) error {
 		how, err := f.outcome()
 		if err == nil {
-			w.CallEnded(how, f.time("Duration", up))
+			w.CallEnded(how, f.time("Duration", deployment.Up))
 		}
 		return err
 	}),
 	"ENDED": withItem(func(w *admission.WorkItem, f *fields) error {
 		how, err := f.outcome()
 		if err == nil {
-			w.RunEnded(how, f.time("Duration", up))
+			w.RunEnded(how, f.time("Duration", deployment.Up))
 		}
 		return err
 	}),
 	"DRAIN": func(i *instance, f *fields) error {
-		i.server.Leave(f.time("TimeLeft", down))
+		i.server.Leave(f.time("TimeLeft", deployment.Down))
 		return nil
 	},
 	"DEADLINE_HIT": (*instance).woken,
@@ -226,7 +227,7 @@
 	}
 	a := admission.Arrival{Door: f.whole("Xid"), Category: f.place("Band"),
 		Caller: f.place("OriginPeer"), HeldKb: f.number("HeldKb"),
-		Unread: f.time("Lay", down), Left: f.time("TimeLeft", down), Again: f.flag("Retry")}
+		Unread: f.time("Lay", deployment.Down), Left: f.time("TimeLeft", deployment.Down), Again: f.flag("Retry")}
 	if f.number("TimeLeft") != 0 {
 		a.Left = max(1, a.Left) // told, however little; none would mean that it was not
 	}
@@ -244,23 +245,18 @@
 }
 
 func (i *instance) woken(f *fields) error {
-	var g admission.Gauges
-	row := f.values["Usage"]
-	for k := 0; row != "" && k < len(i.gauges); k++ {
-		var cell string
-		cell, row, _ = strings.Cut(row, ",")
+	var row []float64
+	for cell := range strings.SplitSeq(f.values["Usage"], ",") {
+		if cell == "" {
+			continue
+		}
 		v, err := strconv.ParseFloat(cell, 64)
 		if err != nil {
 			return fmt.Errorf("gauge %q is not a number", cell)
 		}
-		switch i.gauges[k] {
-		case "core_use":
-			g.CoreUse = v
-		case "on_cores":
-			g.OnCores = v
-		}
+		row = append(row, v)
 	}
-	i.server.Woken(g)
+	i.server.Woken(i.terms.Gauges(row))
 	return nil
 }
 
@@ -347,11 +343,6 @@
 	}
 }
 
-// The two ways to round milliseconds to tenths: down for clocks and time left, so that nothing is answered
-// late; up for spans that have passed.
-func down(ms float64) admission.Tenths { return admission.Tenths(math.Floor(ms*10 + 1e-6)) }
-func up(ms float64) admission.Tenths   { return admission.Tenths(math.Ceil(ms*10 - 1e-6)) }
-
 func (f *fields) time(key string, round func(float64) admission.Tenths) admission.Tenths {
 	return round(f.number(key))
 }
