--- /dev/null
+++ b/internal/appserver/interpreter.go
@@ -0,0 +1,267 @@
+// This file owns the link to the interpreter: commands out, notices in, the gauges. It must never begin a run
+// twice, pass a body or a result on changed, or send anything after a broken link before what is replayed has
+// been taken.
+package appserver
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"log"
+	"strconv"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"thistlequay/admission"
+	"thistlequay/internal/deployment"
+)
+
+const (
+	mostLine  = 256 << 10
+	leastLead = admission.Tenths(10) // gauges are asked for at least so long before they are needed
+	trips     = 4                    // and else so many round trips
+)
+
+type interpreter struct {
+	wire
+	up      bool // commands may go out: the interpreter is up and what it replays has been taken
+	last    uint64
+	carry   []byte
+	kinds   [][]byte // names of categories as JSON
+	again   alarm
+	backOff backOff
+	gauges  admission.Gauges
+	read    admission.Tenths // when they were
+	asked   admission.Tenths // 0 while no question is out
+	trip    float64
+	tags    uint64
+	fence   string // the question whose answer ends what is replayed
+	errs    int
+	links   int
+}
+
+func (l *interpreter) start(a *App) {
+	l.app = a
+	l.again.ring = l.dial
+	l.kinds = make([][]byte, len(a.place.Terms.Categories))
+	for name, i := range a.place.Terms.Named {
+		l.kinds[i], _ = json.Marshal(name)
+	}
+}
+
+func (l *interpreter) dial() {
+	l.app.dial(l.app.place.Interpreter, l, func(bool) { l.app.set(&l.again, l.app.now+l.backOff.next()) })
+}
+
+func (l *interpreter) opened(c gnet.Conn) {
+	l.conn, l.carry, l.asked = c, l.carry[:0], 0
+	l.links++
+	l.out = strconv.AppendUint(append(l.buffer(), `{"type":"CONNECT","n":`...), l.last, 10)
+	l.out = append(l.out, "}\n"...)
+}
+
+// closed: runs go on without a link. What was sent for a run and not heard of may or may not have come: a
+// harmless one is asked for again, which does nothing where it runs; any other is left to its time.
+func (l *interpreter) closed() {
+	if l.up {
+		log.Printf("event=interpreter_lost after_notice=%d in_hand=%d", l.last, l.app.items.inHand())
+	}
+	l.conn, l.up = nil, false
+	for _, it := range l.app.items.byID {
+		if it.begun && !it.heard && !it.ended &&
+			l.app.place.Terms.Categories[it.category].Effect == admission.Harmless {
+			it.toRun = true
+		}
+	}
+	l.app.set(&l.again, l.app.now+l.backOff.next())
+}
+
+// ready: from now on commands go out, first those that waited for a link.
+func (l *interpreter) ready() {
+	l.up, l.fence, l.backOff = true, "", backOff{}
+	for _, it := range l.app.items.byID {
+		if it.toRun && !it.heard && !it.ended && (it.conn != nil || it.stamp != nil) {
+			l.run(it)
+		} else if it.toRun && !it.heard && !it.ended { // nobody waits for it, and it never ran
+			it.toRun = false
+			it.runEnded(admission.NeverBegun, 0, nil)
+			continue
+		}
+		if it.toGoOn != nil {
+			l.goOn(it, it.toGoOn)
+		}
+		if it.toStop {
+			l.stop(it)
+		}
+	}
+}
+
+func (l *interpreter) command(name string, it *item) []byte {
+	out := append(append(append(l.buffer(), `{"type":"`...), name...), `","job":"`...)
+	return append(append(out, it.id...), '"')
+}
+
+func withData(out, data []byte) []byte {
+	out = append(out, `,"data":"`...)
+	return append(base64.StdEncoding.AppendEncode(out, data), "\"}\n"...)
+}
+
+func (l *interpreter) run(it *item) {
+	if it.toRun = !l.up; l.up {
+		out := append(append(l.command("APPLY", it), `,"kind":`...), l.kinds[it.category]...)
+		l.out = withData(out, it.body)
+	}
+}
+
+func (l *interpreter) stop(it *item) {
+	if it.toStop = !l.up; l.up && !it.ended {
+		l.out = append(l.command("BREAK", it), "}\n"...)
+	}
+}
+
+// goOn passes the reply to a run's call on.
+func (l *interpreter) goOn(it *item, reply []byte) {
+	if it.toGoOn = nil; l.up {
+		l.out = withData(l.command("RESOLVE", it), reply)
+	} else {
+		it.toGoOn = reply
+	}
+}
+
+// ahead is how long before they are needed the gauges are asked for.
+func (l *interpreter) ahead() admission.Tenths {
+	return max(leastLead, admission.Tenths(trips*l.trip))
+}
+
+func (l *interpreter) ask() {
+	if l.up && l.asked == 0 {
+		l.asked = l.app.now
+		l.question()
+	}
+}
+
+func (l *interpreter) question() (tag string) {
+	l.tags++
+	tag = strconv.FormatUint(l.tags, 10)
+	l.out = append(append(append(l.buffer(), `{"type":"TOP","ref":"`...), tag...), "\"}\n"...)
+	return tag
+}
+
+func (l *interpreter) traffic(data []byte) error {
+	for len(data) > 0 {
+		line, rest, whole := bytes.Cut(data, []byte{'\n'})
+		data = rest
+		if len(l.carry)+len(line) > mostLine {
+			return errors.New("a line from the interpreter is beyond the bound")
+		}
+		if !whole || len(l.carry) > 0 {
+			l.carry = append(l.carry, line...)
+			line = l.carry
+		}
+		if !whole {
+			return nil
+		}
+		err := l.notice(line)
+		l.carry = l.carry[:0]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *interpreter) notice(line []byte) error {
+	var n struct {
+		Type   string          `json:"type"`
+		N      uint64          `json:"n"`
+		Job    string          `json:"job"`
+		State  string          `json:"state"`
+		Took   float64         `json:"took"`
+		Data   []byte          `json:"data"`
+		Ref    string          `json:"ref"`
+		Gauges json.RawMessage `json:"gauges"`
+	}
+	if len(bytes.TrimSpace(line)) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(line, &n); err != nil {
+		return errors.New("a line from the interpreter is no notice")
+	}
+	if !(n.Took >= 0 && n.Took < 1e12) {
+		return errors.New("a notice with a time that cannot be meant")
+	}
+	if n.N > 0 {
+		if n.N <= l.last {
+			return nil // replayed though it was read
+		}
+		l.last = n.N
+	}
+	it := l.app.items.byID[n.Job]
+	switch n.Type {
+	case "BANNER":
+		l.banner(n.State, deployment.Up(n.Took))
+	case "VALUE":
+		how, known := ends[n.State]
+		if !known {
+			return errors.New("a run's end that is none")
+		}
+		if it != nil {
+			it.heard = true
+			it.runEnded(how, deployment.Up(n.Took), n.Data)
+		}
+	case "AWAIT":
+		if it != nil && it.begun && !it.ended {
+			it.heard, it.asks = true, n.Data
+			it.handle.AtCall()
+		}
+	case "TOPS":
+		return l.tops(n.Ref, n.Gauges)
+	case "ERROR":
+		if l.errs++; l.errs&(l.errs-1) == 0 {
+			log.Printf("event=interpreter_error command=%s id=%s count=%d", n.State, n.Job, l.errs)
+		}
+		if it != nil && it.begun && n.State == "APPLY" {
+			it.runEnded(admission.NeverBegun, 0, nil)
+		}
+	case "TRACE":
+	default:
+		return errors.New("a notice of no known type")
+	}
+	return nil
+}
+
+var ends = map[string]admission.Outcome{"OK": admission.Well, "ERROR": admission.Badly,
+	"STOPPED": admission.Cut, "MOOT": admission.NeverBegun}
+
+// banner starts the module's server the first time, as cold or warm as the interpreter says it was.
+func (l *interpreter) banner(state string, since admission.Tenths) {
+	a := l.app
+	if a.server == nil {
+		a.place.Terms.Cold = state == "COLD"
+		a.server = admission.New(a.place.Terms.Deployment, &a.items, a.now-since)
+		a.server.At(a.now)
+		log.Printf("event=interpreter_up name=%s state=%s since_ms=%d", a.place.Name, state, since/10)
+		l.ready()
+		return
+	}
+	log.Printf("event=interpreter_back name=%s links=%d", a.place.Name, l.links)
+	l.fence = l.question()
+}
+
+func (l *interpreter) tops(ref string, row json.RawMessage) error {
+	var values []float64
+	if err := json.Unmarshal(row, &values); err != nil {
+		return errors.New("gauges that are no numbers")
+	}
+	now := l.app.now
+	l.gauges, l.read = l.app.place.Terms.Gauges(values), now
+	if l.asked > 0 {
+		l.trip += (float64(now-l.asked) - l.trip) / 8
+		l.asked = 0
+	}
+	if l.fence != "" && ref == l.fence {
+		l.ready()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/appserver/invariant_debug.go
@@ -0,0 +1,15 @@
+//go:build debug
+
+// This file owns what happens when something that must hold does not: in debug builds the program stops at
+// once. It must never be the way that bad input is answered.
+package appserver
+
+import "sync/atomic"
+
+var broken atomic.Int64
+
+func must(holds bool, what string) {
+	if !holds {
+		panic("invariant broken: " + what)
+	}
+}
--- /dev/null
+++ b/internal/appserver/loop.go
@@ -0,0 +1,314 @@
+// Package appserver is one app server on sockets: the host of admission.Server.
+//
+// This file owns the engine, the clock, the batch and the one timer. All other parts of the package run on its
+// loop and nowhere else. It must never block, start a goroutine for a work item, or decide anything.
+package appserver
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"log"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"thistlequay/admission"
+	"thistlequay/internal/deployment"
+)
+
+// Place is where an app server stands and what it may use.
+type Place struct {
+	Name, Listen, Interpreter, Index, Directory string
+	StopIn                                      admission.Tenths // from the notice to leave to the stop
+	Sockets                                     int              // descriptors it may hold
+	Terms                                       *deployment.Terms
+}
+
+const (
+	second      = admission.Tenths(10_000)
+	keptBack    = 32              // descriptors for the loop, the listener and outgoing links, dials under way included
+	dialWithin  = 1 * time.Second // a dial that takes longer has failed
+	redialAfter = second / 10     // and the next is made so much later, ever later up to the next figure
+	redialMost  = second
+	leaveEarly  = second / 10 // of the time to the stop, what the end of the process itself may take
+	stoodStill  = second / 50 // a timer later than this is decided on only after what came in meanwhile
+)
+
+type forever = admission.Tenths
+
+const never forever = 1 << 60
+
+// App is one app server.
+type App struct {
+	gnet.BuiltinEventEngine
+	place  Place
+	engine gnet.Engine
+	thread gnet.EventLoop
+
+	server *admission.Server // nil until the interpreter is up
+	now    admission.Tenths
+	queued bool    // a flush is on its way
+	dirty  []*wire // what has output for the end of the batch
+	pool   buffers
+
+	alarms   alarms
+	timer    *time.Timer
+	armed    admission.Tenths
+	deferred bool // a late timer has already let the sockets go first
+
+	routers     routers
+	items       items
+	interpreter interpreter
+	index       index
+	directory   directory
+	ending      bool
+	leaving     chan struct{}
+}
+
+// New makes an app server; Run starts it.
+func New(p Place) *App {
+	a := &App{place: p, armed: never, leaving: make(chan struct{}, 1)}
+	a.routers.start(a)
+	a.items.start(a)
+	a.interpreter.start(a)
+	a.index.start(a)
+	a.directory.start(a)
+	return a
+}
+
+// Run serves until the notice to leave has been carried out. An address in use is an error before anything else.
+func (a *App) Run() error {
+	// gnet shares its address by SO_REUSEPORT where one loop also accepts; a plain listener tells if it is taken.
+	l, err := net.Listen("tcp", a.place.Listen)
+	if err != nil {
+		return err
+	}
+	l.Close()
+	return gnet.Run(a, "tcp://"+a.place.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+		gnet.WithReadBufferCap(1<<16), gnet.WithWriteBufferCap(bufferSize), gnet.WithLogger(engineLog{}))
+}
+
+// Leave is the notice to leave. A second one changes nothing.
+func (a *App) Leave() {
+	select {
+	case a.leaving <- struct{}{}:
+	default:
+	}
+}
+
+// OnBoot knocks at the own door, as only a connection tells which loop there is.
+func (a *App) OnBoot(e gnet.Engine) gnet.Action {
+	a.engine = e
+	go func() {
+		if c, err := net.DialTimeout("tcp", a.place.Listen, dialWithin); err == nil {
+			c.Close()
+		}
+	}()
+	return gnet.None
+}
+
+// peer is a connection as an object.
+type peer interface {
+	opened(c gnet.Conn)
+	traffic(data []byte) error // an error closes it
+	closed()
+}
+
+func (a *App) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if a.thread == nil {
+		a.begin(c.EventLoop())
+	}
+	a.event()
+	p, known := c.Context().(peer)
+	if !known {
+		if p = a.routers.accept(c); p == nil {
+			return nil, gnet.Close
+		}
+		c.SetContext(p)
+	}
+	p.opened(c)
+	return nil, gnet.None
+}
+
+func (a *App) OnTraffic(c gnet.Conn) gnet.Action {
+	p, known := c.Context().(peer)
+	data, err := c.Next(-1)
+	if !known || err != nil {
+		return gnet.Close
+	}
+	a.event()
+	if err := p.traffic(data); err != nil {
+		log.Printf("event=closed peer=%s local=%s reason=%q", c.RemoteAddr(), c.LocalAddr(), err)
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+func (a *App) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if p, known := c.Context().(peer); known && !a.ending {
+		a.event()
+		p.closed()
+	}
+	return gnet.None
+}
+
+// begin runs once, when the loop is known.
+func (a *App) begin(thread gnet.EventLoop) {
+	a.thread = thread
+	a.timer = time.AfterFunc(time.Hour, func() { a.do(a.ring) })
+	go func() {
+		<-a.leaving
+		a.do(a.leave)
+	}()
+	a.interpreter.dial()
+	a.directory.report()
+	log.Printf("event=listening name=%s address=%s connections=%d", a.place.Name, a.place.Listen, a.routers.most)
+}
+
+// do has the loop do something; it may be called from anywhere.
+func (a *App) do(what func()) {
+	_ = a.thread.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		if !a.ending {
+			a.event()
+			what()
+		}
+		if a.ending {
+			return errEnd
+		}
+		return nil
+	}))
+}
+
+func clock() admission.Tenths { return admission.Tenths(time.Now().UnixMicro() / 100) }
+
+// event opens a batch, or goes on with the one that is open.
+func (a *App) event() {
+	a.now = max(a.now, clock())
+	if a.server != nil {
+		a.server.At(a.now)
+	}
+	if !a.queued {
+		a.queued = true
+		_ = a.thread.Execute(context.Background(), gnet.RunnableFunc(a.flush))
+	}
+}
+
+// flush ends the batch: the module decides once, and each connection is written once.
+func (a *App) flush(context.Context) error {
+	if a.ending {
+		return errEnd
+	}
+	if a.server != nil {
+		a.now = max(a.now, clock())
+		a.server.At(a.now)
+		a.items.settle()
+		a.server.Decide()
+		a.items.settle()
+	}
+	a.queued = false // what a write closes opens the next batch
+	dirty := a.dirty
+	a.dirty = nil
+	for _, w := range dirty {
+		w.push()
+	}
+	a.arm()
+	return nil
+}
+
+// alarm is a moment at which something is due. There is one timer for all.
+type alarm struct {
+	at    admission.Tenths
+	place int // in the heap plus one, 0 outside
+	ring  func()
+}
+
+type alarms []*alarm
+
+func (l alarms) Len() int           { return len(l) }
+func (l alarms) Less(i, j int) bool { return l[i].at < l[j].at }
+func (l alarms) Swap(i, j int)      { l[i], l[j] = l[j], l[i]; l[i].place, l[j].place = i+1, j+1 }
+func (l *alarms) Push(x any)        { m := x.(*alarm); *l = append(*l, m); m.place = len(*l) }
+func (l *alarms) Pop() any {
+	m := (*l)[len(*l)-1]
+	*l, m.place = (*l)[:len(*l)-1], 0
+	return m
+}
+
+func (a *App) set(m *alarm, at admission.Tenths) {
+	a.unset(m)
+	m.at = at
+	heap.Push(&a.alarms, m)
+}
+
+func (a *App) unset(m *alarm) {
+	if m.place > 0 {
+		heap.Remove(&a.alarms, m.place-1)
+	}
+}
+
+// ring is the timer. Where the machine stood still, the sockets are read once before late alarms speak: what
+// came in meanwhile, an answer or a caller that left, may have settled what they are about.
+func (a *App) ring() {
+	a.armed = never
+	if len(a.alarms) > 0 && !a.deferred && a.now-a.alarms[0].at > stoodStill {
+		a.deferred = true
+		a.armed = a.now
+		a.timer.Reset(0)
+		return
+	}
+	a.deferred = false
+	for len(a.alarms) > 0 && a.alarms[0].at <= a.now {
+		heap.Pop(&a.alarms).(*alarm).ring()
+	}
+}
+
+func (a *App) arm() {
+	if a.timer == nil || len(a.alarms) == 0 || a.alarms[0].at == a.armed || a.deferred {
+		return
+	}
+	a.armed = a.alarms[0].at
+	a.timer.Reset(time.Duration(max(0, a.armed-clock())) * (time.Millisecond / 10))
+}
+
+// leave tells the module how long there is, and ends the program in time.
+func (a *App) leave() {
+	left := max(0, a.place.StopIn-min(leaveEarly, a.place.StopIn/4))
+	log.Printf("event=leaving name=%s within_ms=%d in_hand=%d", a.place.Name, left/10, a.items.inHand())
+	if a.server != nil {
+		a.server.Leave(left)
+	}
+	a.directory.report()
+	a.set(&alarm{ring: func() {
+		a.routers.closeAll()
+		a.set(&alarm{ring: a.end}, a.now+(a.place.StopIn-left)/2)
+	}}, a.now+left)
+}
+
+func (a *App) end() {
+	log.Printf("event=ended name=%s in_hand=%d broken_invariants=%d", a.place.Name, a.items.inHand(), broken.Load())
+	a.ending = true
+}
+
+// dial connects to another party off the loop and gives the connection to p, or calls failed on the loop.
+func (a *App) dial(address string, p peer, failed func(refused bool)) {
+	go func() {
+		c, err := net.DialTimeout("tcp", address, dialWithin)
+		if err == nil {
+			_, err = a.thread.Enroll(gnet.NewContext(context.Background(), p), c)
+		}
+		if err != nil {
+			a.do(func() { failed(errors.Is(err, syscall.ECONNREFUSED)) })
+		}
+	}()
+}
+
+// backOff is how much later the next dial comes, ever later up to a bound.
+type backOff struct{ last admission.Tenths }
+
+func (b *backOff) next() admission.Tenths {
+	b.last = min(max(redialAfter, 2*b.last), redialMost)
+	return b.last
+}
