--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	l.Close()
-	return gnet.Run(a, "tcp://"+a.place.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+	return gnet.Run(a, "tcp://"+a.place.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 		gnet.WithReadBufferCap(1<<16), gnet.WithWriteBufferCap(bufferSize), gnet.WithLogger(engineLog{}))
 }
 
