--- /dev/null
+++ b/cmd/thistlequay/standins_test.go
@@ -0,0 +1,330 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The stand-ins speak as their protocol pages say and do only what a test has them do. Nothing here sleeps: all
+// waiting is for an event, up to a bound that only a failure reaches.
+const patience = 20 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "thistlequay")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "thistlequay")
+	if out, err := exec.Command("go", "build", "-race", "-tags", "debug", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settings = `{"Categories":[
+{"Effect":"repeatable","HardLimit":8000.0,"LateWorth":0.2,"Name":"look","OnTime":4000.0,"Window":5000.0,"Worth":1.0},
+{"Effect":"by_key","HardLimit":8000.0,"LateWorth":0.2,"Name":"book","OnTime":4000.0,"Window":30000.0,"Worth":3.0},
+{"Effect":"repeatable","HardLimit":900.0,"LateWorth":0.0,"Name":"brief","OnTime":600.0,"Window":5000.0,"Worth":1.0}],
+"FamilyInfo":{"CallShare":9.0,"Callers":3,"CallsOver":5000.0,"Cold":false,"Cores":2,"Downstream":"common",
+"EntryKb":10.0,"Halt":"drop","KeepaliveMax":30000.0,"Linger":200.0,"MemoryKb":80000.0,
+"Meters":["core_use","on_cores","heap_share","links"],"RunFactor":8.0,"Say":"min_rank"},
+"Limits":{"MaxRetryAfter":1000.0,"RetryAfter":true},"Period":2.0,"Servers":3,
+"Rules":{"Cold":9000.0,"ColdFrom":0.3,"DrainGrace":300.0,"TipMultiple":8.0}}`
+
+// rig is one program and all that it talks to.
+type rig struct {
+	*require.Assertions
+	t         *testing.T
+	vm        *standIn
+	index     *standIn
+	directory *standIn
+	listen    string
+	config    string
+	process   *exec.Cmd
+	log       *bytes.Buffer
+	ended     chan struct{}
+	ids       int
+}
+
+// standIn accepts connections and hands out what comes on them as lines.
+type standIn struct {
+	listener net.Listener
+	address  string
+	links    chan *link
+}
+
+type link struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (r *rig) standIn() *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r.NoError(err)
+	s := &standIn{listener: l, address: l.Addr().String(), links: make(chan *link, 64)}
+	r.t.Cleanup(func() { l.Close() })
+	go s.accept()
+	return s
+}
+
+func (s *standIn) accept() {
+	for l := s.listener; ; {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.links <- &link{c, bufio.NewReader(c)}
+	}
+}
+
+func (r *rig) link(s *standIn) *link {
+	select {
+	case l := <-s.links:
+		l.SetDeadline(time.Now().Add(patience))
+		r.t.Cleanup(func() { l.Close() })
+		return l
+	case <-time.After(patience):
+		r.FailNow("no link came")
+		return nil
+	}
+}
+
+func (r *rig) line(l *link) string {
+	text, err := l.in.ReadString('\n')
+	r.NoError(err)
+	return strings.TrimRight(text, "\r\n")
+}
+
+func (r *rig) say(l *link, format string, args ...any) {
+	_, err := fmt.Fprintf(l, format+"\n", args...)
+	r.NoError(err)
+}
+
+// prepare makes the parties and the configuration.
+func prepare(t *testing.T) *rig {
+	r := &rig{Assertions: require.New(t), t: t}
+	r.vm, r.index, r.directory = r.standIn(), r.standIn(), r.standIn()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	r.NoError(err)
+	r.listen = free.Addr().String()
+	free.Close()
+	r.config = fmt.Sprintf(`{"name":"n3","listen":%q,"vm":%q,"lookup":%q,"index":%q,"seed":"8c1f30d27a5be964",
+"stop_ms":1500,"limits":{"cores":1.0,"memory_mb":192,"sockets":64},"settings":%s}`,
+		r.listen, r.vm.address, r.directory.address, r.index.address, settings)
+	return r
+}
+
+func (r *rig) run() {
+	path := filepath.Join(r.t.TempDir(), "config.json")
+	r.NoError(os.WriteFile(path, []byte(r.config), 0o600))
+	process, log, ended := exec.Command(program), &bytes.Buffer{}, make(chan struct{})
+	process.Env = append(os.Environ(), "PROXY_CONFIG="+path)
+	process.Stdout, process.Stderr = log, log
+	r.NoError(process.Start())
+	r.process, r.log, r.ended = process, log, ended
+	go func() { process.Wait(); close(ended) }()
+	r.t.Cleanup(func() {
+		process.Process.Signal(syscall.SIGKILL)
+		<-ended
+		if r.t.Failed() {
+			r.t.Log(log.String())
+		}
+		r.NotContains(log.String(), "DATA RACE")
+		r.NotContains(log.String(), "invariant_broken")
+	})
+}
+
+// exit waits for the program's end and gives its code and log.
+func (r *rig) exit() (int, string) {
+	select {
+	case <-r.ended:
+	case <-time.After(patience):
+		r.FailNow("the program does not end")
+	}
+	return r.process.ProcessState.ExitCode(), r.log.String()
+}
+
+// start runs the program up to where it serves: the interpreter's link is the result.
+func start(t *testing.T) (*rig, *vm) {
+	r := prepare(t)
+	r.run()
+	v := r.up(0)
+	return r, v
+}
+
+// vm is the interpreter's end of its link.
+type vm struct {
+	r *rig
+	*link
+	n int
+}
+
+type order struct{ Type, Job, Kind, Data, Ref string }
+
+func (r *rig) up(n int) *vm {
+	v := &vm{r: r, link: r.link(r.vm)}
+	r.JSONEq(fmt.Sprintf(`{"type":"CONNECT","n":%d}`, n), r.line(v.link))
+	r.say(v.link, `{"type":"BANNER","state":"WARM","took":3600000}`)
+	return v
+}
+
+// next gives the next command that is no question for the gauges; those are answered.
+func (v *vm) next() (o order) {
+	for {
+		o = order{}
+		v.r.NoError(json.Unmarshal([]byte(v.r.line(v.link)), &o))
+		if o.Type != "TOP" {
+			return o
+		}
+		v.r.say(v.link, `{"type":"TOPS","ref":%q,"gauges":[1,2,0.1,3]}`, o.Ref)
+	}
+}
+
+func (v *vm) value(job, state, result string) {
+	v.n++
+	v.r.say(v.link, `{"type":"VALUE","n":%d,"job":%q,"state":%q,"took":12.5,"data":%q}`, v.n, job, state,
+		base64.StdEncoding.EncodeToString([]byte(result)))
+}
+
+func (v *vm) await(job, call string) {
+	v.n++
+	v.r.say(v.link, `{"type":"AWAIT","n":%d,"job":%q,"data":%q}`, v.n, job,
+		base64.StdEncoding.EncodeToString([]byte(call)))
+}
+
+func (v *vm) applied(id, body string) {
+	o := v.next()
+	data, _ := base64.StdEncoding.DecodeString(o.Data)
+	v.r.Equal("APPLY "+id+" "+body, o.Type+" "+o.Job+" "+string(data))
+}
+
+// router is a connection as routers open them.
+type router struct {
+	r *rig
+	*link
+}
+
+func (r *rig) router() *router {
+	var c net.Conn
+	r.Eventually(func() (up bool) {
+		var err error
+		c, err = net.Dial("tcp", r.listen)
+		return err == nil
+	}, patience, 5*time.Millisecond)
+	c.SetDeadline(time.Now().Add(patience))
+	r.t.Cleanup(func() { c.Close() })
+	return &router{r, &link{c, bufio.NewReader(c)}}
+}
+
+// id is a new try's.
+func (r *rig) id() string {
+	r.ids++
+	return fmt.Sprintf("%016x", 0xabc0000+r.ids)
+}
+
+func fields(id string) map[string]string {
+	return map[string]string{"HTTP_REQUEST_ID": id, "HTTP_RECEIVED_AT": strconv.FormatInt(time.Now().UnixMilli(), 10),
+		"HTTP_SENT_BY": "1", "HTTP_ACCOUNT": "acme", "HTTP_BUDGET_MS": "7000", "HTTP_FOOTPRINT_KB": "24.5",
+		"HTTP_PRIORITY_RANK": "0.6250", "REQUEST_METHOD": "POST"}
+}
+
+func fcgi(kind byte, slot uint16, content string) []byte {
+	head := []byte{1, kind, byte(slot >> 8), byte(slot), byte(len(content) >> 8), byte(len(content)), 0, 0}
+	return append(head, content...)
+}
+
+func (c *router) ask(slot uint16, path, body string, with map[string]string) {
+	var params strings.Builder
+	put := func(name, value string) {
+		params.Write([]byte{byte(len(name)), byte(len(value))})
+		params.WriteString(name + value)
+	}
+	put("SCRIPT_NAME", path)
+	for name, value := range with {
+		put(name, value)
+	}
+	data := fcgi(1, slot, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	data = append(append(data, fcgi(4, slot, params.String())...), fcgi(4, slot, "")...)
+	if body != "" {
+		data = append(data, fcgi(5, slot, body)...)
+	}
+	_, err := c.Write(append(data, fcgi(5, slot, "")...))
+	c.r.NoError(err)
+}
+
+// look, book and brief ask for a work item of these categories and give its id.
+func (c *router) look(slot uint16, body string) string {
+	id := c.r.id()
+	c.ask(slot, "/rpc/look", body, fields(id))
+	return id
+}
+
+func (c *router) brief(slot uint16) string {
+	id, with := c.r.id(), fields("")
+	with["HTTP_REQUEST_ID"], with["HTTP_BUDGET_MS"] = id, "900"
+	c.ask(slot, "/rpc/brief", "b", with)
+	return id
+}
+
+func (c *router) book(slot uint16, key string) string {
+	id := c.r.id()
+	with := fields(id)
+	with["HTTP_ONCE_KEY"] = key
+	c.ask(slot, "/rpc/book", "entry "+key, with)
+	return id
+}
+
+// answer gives the next answer on the connection: its slot, status, headers and body.
+func (c *router) answer() (slot uint16, status int, headers, body string) {
+	var out []byte
+	for {
+		head := make([]byte, 8)
+		_, err := io.ReadFull(c.in, head)
+		c.r.NoError(err)
+		content := make([]byte, int(binary.BigEndian.Uint16(head[4:]))+int(head[6]))
+		_, err = io.ReadFull(c.in, content)
+		c.r.NoError(err)
+		if head[1] == 6 {
+			out = append(out, content...)
+			continue
+		}
+		c.r.Equal(byte(3), head[1])
+		headers, body, _ = strings.Cut(string(out), "\r\n\r\n")
+		fmt.Sscanf(headers, "Status: %d", &status)
+		return binary.BigEndian.Uint16(head[2:]), status, headers, body
+	}
+}
+
+// answered checks the next answer.
+func (c *router) answered(slot uint16, status int, body string) {
+	s, got, headers, text := c.answer()
+	c.r.Equal(fmt.Sprint(slot, " ", status, " ", body), fmt.Sprint(s, " ", got, " ", text), headers)
+}
+
+// over says that the other side closed the connection.
+func (c *router) over() {
+	_, err := io.Copy(io.Discard, c.in)
+	if err != nil {
+		c.r.ErrorIs(err, syscall.ECONNRESET)
+	}
+}
--- /dev/null
+++ b/internal/appserver/links_test.go
@@ -0,0 +1,113 @@
+package appserver
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/admission"
+	"thistlequay/internal/deployment"
+)
+
+const job = "00000000000000aa"
+
+// running makes an app server without an engine, with one work item that runs. Nothing leaves it.
+func running(t *testing.T) (*App, *router) {
+	terms, err := deployment.Read([]byte(`{"Categories":[{"Effect":"by_key","HardLimit":8000,"Name":"a","OnTime":4000,
+"Window":5000,"Worth":1}],"FamilyInfo":{"CallShare":9,"CallsOver":5000,"Cores":2,"Downstream":"common","MemoryKb":80000,
+"Meters":["core_use","on_cores"],"RunFactor":8,"Halt":"drop"},"Servers":1,"Rules":{"TipMultiple":8}}`))
+	require.NoError(t, err)
+	a := New(Place{Name: "n", Sockets: 64, Terms: terms})
+	a.now = 10_000_000
+	require.NoError(t, a.interpreter.traffic([]byte(`{"type":"BANNER","state":"WARM","took":1}`+"\n")))
+	c := &router{wire: wire{app: a}}
+	require.NoError(t, c.parser.Feed([]byte(request), c))
+	a.server.Decide()
+	require.Contains(t, string(a.interpreter.out), `{"type":"APPLY","job":"`+job+`","kind":"a","data":"eA=="}`)
+	return a, c
+}
+
+// request is a whole one, in records as a router sends them.
+var request = func() string {
+	record := func(kind byte, content string) string {
+		return string([]byte{1, kind, 0, 1, 0, byte(len(content)), 0, 0}) + content
+	}
+	fields := ""
+	for _, f := range [][2]string{{"SCRIPT_NAME", "/rpc/a"}, {"HTTP_REQUEST_ID", job}, {"HTTP_RECEIVED_AT", "1000000"},
+		{"HTTP_BUDGET_MS", "7000"}, {"HTTP_SENT_BY", "1"}, {"HTTP_FOOTPRINT_KB", "20"}, {"HTTP_ONCE_KEY", "k"}} {
+		fields += string([]byte{byte(len(f[0])), byte(len(f[1]))}) + f[0] + f[1]
+	}
+	return record(1, "\x00\x01\x01\x00\x00\x00\x00\x00") + record(4, fields) + record(4, "") + record(5, "x") +
+		record(5, "")
+}()
+
+func inPieces(data string, size int, traffic func([]byte) error) (err error) {
+	for len(data) > 0 && err == nil {
+		n := min(size, len(data))
+		err = traffic([]byte(data[:n]))
+		data = data[n:]
+	}
+	return err
+}
+
+// What the interpreter says never panics, and means the same however it is split.
+func FuzzNotices(f *testing.F) {
+	f.Add(`{"type":"VALUE","n":1,"job":"`+job+`","state":"OK","took":5,"data":"eA=="}`+"\n", 3)
+	f.Add(`{"type":"AWAIT","n":2,"job":"`+job+`","data":"eA=="}`+"\n\n"+`{"type":"TOPS","ref":"1","gauges":[1,2]}`+"\n", 7)
+	f.Add(`{"type":"ERROR","state":"APPLY","job":"`+job+`"}`+"\n"+`{"type":"TRACE","n":9}`+"\n", 1)
+	f.Add(`{"type":"BANNER","state":"COLD","took":-1}`+"\n", 2)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		heard := func(size int) string {
+			a, c := running(t)
+			err := inPieces(text, size, a.interpreter.traffic)
+			return fmt.Sprint(err, a.interpreter.last, a.interpreter.gauges, a.items.inHand(), string(c.out))
+		}
+		require.Equal(t, heard(max(1, len(text))), heard(1+max(0, size)%61))
+	})
+}
+
+// The same of what the index says.
+func FuzzReplies(f *testing.F) {
+	f.Add(job+" HIT 3\r\na\r\n\r\n", 1)
+	f.Add(job+" SHED\r\n"+job+" SLOW\r\n", 4)
+	f.Add(job+" HIT 99999999999\r\n", 5)
+	f.Add(strings.Repeat("x", 200), 9)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		heard := func(size int) string {
+			a, c := running(t)
+			a.index.dialing = true
+			a.items.byID[job].handle.AtCall()
+			a.server.Decide()
+			require.Len(t, a.index.calls, 1)
+			a.items.byID[job].call.sent = true
+			err := inPieces(text, size, a.index.traffic)
+			return fmt.Sprint(err, len(a.index.calls), string(c.out), string(a.interpreter.out))
+		}
+		require.Equal(t, heard(max(1, len(text))), heard(1+max(0, size)%61))
+	})
+}
+
+// A stamp is matched by the time its repeat reached the machine, however late that is read, and goes in its time
+// with its result: no sweep, no growth.
+func TestStampsLastTheirWindow(t *testing.T) {
+	a, c := running(t)
+	require.NoError(t, a.interpreter.traffic([]byte(`{"type":"VALUE","n":1,"job":"`+job+`","state":"OK","took":5,"data":"eA=="}`+"\n")))
+	require.Contains(t, string(c.out), "Status: 200 OK\r\n\r\nx")
+	again := func(reached string, now admission.Tenths) string {
+		a.now = now
+		a.server.At(now)
+		c.out = nil
+		text := strings.Replace(strings.Replace(request, job, "00000000000000ab", 1), "1000000", reached, 1)
+		require.NoError(t, c.parser.Feed([]byte(text), c))
+		a.items.settle()
+		a.server.Decide()
+		return string(c.out)
+	}
+	require.Contains(t, again("1004999", 10_060_000), "Status: 200 OK\r\n\r\nx") // read after the window, sent within
+	require.Empty(t, again("1005100", 10_060_000))                               // sent after it: another run
+	require.Len(t, a.items.stamps, 1)
+	require.Len(t, a.items.fading, 1)
+	require.True(t, a.items.byID["00000000000000ab"].begun)
+}
