Books close on runs in doubt; stamps fade by the one timer; state line; leave before the interpreter

A run sent on a link that broke and never heard of held its place in the module for ever once answered; now it is closed then. A notice to leave before the interpreter is up reaches the module when it comes up. The second heap (stamps) is gone. Found by reading; the test of the broken link covers the first.

--- a/internal/appserver/buffers.go
+++ b/internal/appserver/buffers.go
@@ -7,7 +7,8 @@
 const (
 	bufferSize = 8 << 10
 	mostSpare  = 256       // buffers kept for later
-	mostUnread = 192 << 10 // output that a peer may leave unread: more than all its open requests can be owed
+	mostUnread = 192 << 10 // output that a router may leave unread: more than all its open requests can be owed
+	mostOnLink = 4 << 20   // and one of the few other parties, which are given all that goes on while they stand still
 )
 
 type buffers struct{ spare [][]byte }
@@ -33,6 +34,7 @@
 	conn  gnet.Conn // nil while there is none
 	out   []byte
 	after bool // close it once this is written
+	most  int  // output that may lie unread
 }
 
 // buffer gives what to append output to; the connection is written at the end of the batch.
@@ -48,8 +50,8 @@
 	out := w.out
 	w.out = nil
 	if w.conn != nil && len(out) > 0 {
-		if _, err := w.conn.Write(out); err == nil && w.conn != nil && w.conn.OutboundBuffered() > mostUnread {
-			w.app.routers.unread++
+		if _, err := w.conn.Write(out); err == nil && w.conn != nil && w.conn.OutboundBuffered() > w.most {
+			w.app.unread++
 			w.shut()
 		}
 	}
--- a/internal/appserver/directory.go
+++ b/internal/appserver/directory.go
@@ -23,11 +23,11 @@
 	owed    bool // a report has not been answered
 	carry   []byte
 	next    alarm
-	failed  int
+	missed  int // reports that were not answered
 }
 
 func (d *directory) start(a *App) {
-	d.app = a
+	d.wire = wire{app: a, most: mostOnLink}
 	d.next.ring = d.report
 }
 
@@ -41,7 +41,7 @@
 			d.app.dial(d.app.place.Directory, d, func(bool) { d.dialing = false })
 		}
 	case d.owed:
-		d.failed++
+		d.missed++
 		d.shut()
 		d.report()
 	default:
--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -36,7 +36,7 @@
 }
 
 func (x *index) start(a *App) {
-	x.app, x.calls = a, map[*call]struct{}{}
+	x.wire, x.calls = wire{app: a, most: mostOnLink}, map[*call]struct{}{}
 	x.idle.ring = func() {
 		if len(x.calls) == 0 {
 			x.shut()
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -42,7 +42,7 @@
 }
 
 func (l *interpreter) start(a *App) {
-	l.app = a
+	l.wire = wire{app: a, most: mostOnLink}
 	l.again.ring = l.dial
 	l.kinds = make([][]byte, len(a.place.Terms.Categories))
 	for name, i := range a.place.Terms.Named {
@@ -69,9 +69,9 @@
 	}
 	l.conn, l.up = nil, false
 	for _, it := range l.app.items.byID {
-		if it.begun && !it.heard && !it.ended &&
-			l.app.place.Terms.Categories[it.category].Effect == admission.Harmless {
-			it.toRun = true
+		if it.sent && !it.heard {
+			it.toRun = l.app.place.Terms.Categories[it.category].Effect == admission.Harmless
+			it.doubt = !it.toRun
 		}
 	}
 	l.app.set(&l.again, l.app.now+l.backOff.next())
@@ -81,14 +81,12 @@
 func (l *interpreter) ready() {
 	l.up, l.fence, l.backOff = true, "", backOff{}
 	for _, it := range l.app.items.byID {
-		if it.toRun && !it.heard && !it.ended && (it.conn != nil || it.stamp != nil) {
-			l.run(it)
-		} else if it.toRun && !it.heard && !it.ended { // nobody waits for it, and it never ran
-			it.toRun = false
+		switch {
+		case it.toRun && it.conn == nil && !it.sent: // nobody waits for it, and it never left
 			it.runEnded(admission.NeverBegun, 0, nil)
-			continue
-		}
-		if it.toGoOn != nil {
+		case it.toRun && !it.heard:
+			l.run(it)
+		case it.toGoOn != nil:
 			l.goOn(it, it.toGoOn)
 		}
 		if it.toStop {
@@ -109,6 +107,7 @@
 
 func (l *interpreter) run(it *item) {
 	if it.toRun = !l.up; l.up {
+		it.sent = true
 		out := append(append(l.command("APPLY", it), `,"kind":`...), l.kinds[it.category]...)
 		l.out = withData(out, it.body)
 	}
@@ -207,12 +206,12 @@
 			return errors.New("a run's end that is none")
 		}
 		if it != nil {
-			it.heard = true
+			it.heard, it.doubt = true, false
 			it.runEnded(how, deployment.Up(n.Took), n.Data)
 		}
 	case "AWAIT":
 		if it != nil && it.begun && !it.ended {
-			it.heard, it.asks = true, n.Data
+			it.heard, it.doubt, it.asks = true, false, n.Data
 			it.handle.AtCall()
 		}
 	case "TOPS":
@@ -242,6 +241,7 @@
 		a.server = admission.New(a.place.Terms.Deployment, &a.items, a.now-since)
 		a.server.At(a.now)
 		log.Printf("event=interpreter_up name=%s state=%s since_ms=%d", a.place.Name, state, since/10)
+		a.tellLeave()
 		l.ready()
 		return
 	}
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -4,7 +4,6 @@
 package appserver
 
 import (
-	"container/heap"
 	"log"
 	"strconv"
 
@@ -24,11 +23,12 @@
 	spare   []uint64
 	byID    map[string]*item // for the interpreter and the index, which know ids only
 	stamps  map[string]*stamp
-	fading  stamps  // the same, by the time they go
 	due     []*item // that share a result which is there, or will not come
+	lapsed  []*item // answered, and their runs in doubt
 	longest admission.Tenths
 	wake    alarm // the module's
 	ask     alarm // for the gauges ahead of it
+	ages    lags  // of the gauges when they were needed
 	refused int   // requests that could not be taken
 }
 
@@ -47,9 +47,11 @@
 	shares   bool
 	begun    bool // the module had it run
 	toRun    bool // the interpreter has yet to be told so
+	sent     bool // it was told, on some link
 	toStop   bool
 	toGoOn   []byte // with this reply
 	heard    bool   // the interpreter has spoken of the run
+	doubt    bool   // a link broke before it did: the run may never have begun
 	ended    bool   // and has told its end
 	asks     []byte // the body of the call that the run waits for
 	call     *call
@@ -65,26 +67,16 @@
 	well    bool             // with this result
 	result  []byte           // as the interpreter gave it
 	until   admission.Tenths // tries that reached the machine before this repeat it
-	gone    admission.Tenths // none that did can still be unread after this
-	place   int              // in the heap plus one
+	fade    alarm            // none that did can still be unread after this
 	sharers []*item
 }
 
-type stamps []*stamp
-
-func (l stamps) Len() int           { return len(l) }
-func (l stamps) Less(i, j int) bool { return l[i].gone < l[j].gone }
-func (l stamps) Swap(i, j int)      { l[i], l[j] = l[j], l[i]; l[i].place, l[j].place = i+1, j+1 }
-func (l *stamps) Push(x any)        { t := x.(*stamp); *l = append(*l, t); t.place = len(*l) }
-func (l *stamps) Pop() any {
-	t := (*l)[len(*l)-1]
-	*l, t.place = (*l)[:len(*l)-1], 0
-	return t
-}
-
 func (t *items) start(a *App) {
 	t.app, t.byID, t.stamps = a, map[string]*item{}, map[string]*stamp{}
-	t.wake.ring = func() { a.server.Woken(a.interpreter.gauges) }
+	t.wake.ring = func() {
+		t.ages.add(a.now - a.interpreter.read)
+		a.server.Woken(a.interpreter.gauges)
+	}
 	t.ask.ring = a.interpreter.ask
 	for _, c := range a.place.Terms.Categories {
 		t.longest = max(t.longest, c.Expiry)
@@ -119,7 +111,6 @@
 		t.slots = append(t.slots, it)
 	}
 	arrival.Door = it.door
-	t.fade()
 	var key string
 	if a.place.Terms.Categories[it.category].Effect == admission.Stamped {
 		key = string(s.Field("HTTP_ONCE_KEY"))
@@ -140,9 +131,9 @@
 			must(!before.ran, "a stamp that ran is replaced")
 			t.drop(before)
 		}
-		it.stamp = &stamp{key: key, owner: it, until: never, gone: never}
-		t.stamps[key] = it.stamp
-		heap.Push(&t.fading, it.stamp)
+		m := &stamp{key: key, owner: it, until: never}
+		m.fade.ring = func() { t.drop(m) }
+		it.stamp, t.stamps[key] = m, m
 	}
 }
 
@@ -194,26 +185,24 @@
 	return it, arrival, reached, ""
 }
 
-// fade drops stamps whose time is up.
-func (t *items) fade() {
-	for len(t.fading) > 0 && t.fading[0].gone <= t.app.now {
-		t.drop(t.fading[0])
-	}
-}
-
 func (t *items) drop(m *stamp) {
 	if t.stamps[m.key] == m {
 		delete(t.stamps, m.key)
 	}
-	if m.place > 0 {
-		heap.Remove(&t.fading, m.place-1)
-	}
+	t.app.unset(&m.fade)
 	t.due = append(t.due, m.sharers...)
 	m.sharers = nil
 }
 
-// settle answers those that share a result, once the try that they share is over.
+// settle answers those that share a result, once the try that they share is over, and closes the books on runs
+// that nobody waits for and that may never have begun: else they would hold their place for ever.
 func (t *items) settle() {
+	for _, it := range t.lapsed {
+		if !it.over && !it.heard {
+			it.runEnded(admission.NeverBegun, 0, nil)
+		}
+	}
+	t.lapsed = t.lapsed[:0]
 	for len(t.due) > 0 {
 		due := t.due
 		t.due = nil
@@ -235,22 +224,28 @@
 
 func (it *item) answer(status, headers string, body []byte) {
 	if it.conn == nil {
-		must(it.over || it.handle == nil || it.stream == nil, "answered without its request")
 		return
 	}
+	must(it.stream.Mark == it, "answered twice")
 	conn, stream := it.conn, it.stream
-	it.conn, it.stream = nil, nil
+	it.leave()
 	conn.answer(stream, status, headers, body)
 }
 
-// gone: nobody waits for it any more.
-func (it *item) gone() {
+// leave: no answer is owed any more.
+func (it *item) leave() {
 	it.conn, it.stream = nil, nil
-	if it.handle != nil {
-		it.handle.Gone()
+	if it.doubt {
+		it.app.items.lapsed = append(it.app.items.lapsed, it)
 	}
 }
 
+// gone: nobody waits for it any more.
+func (it *item) gone() {
+	it.leave()
+	it.handle.Gone()
+}
+
 // runEnded: the interpreter tells the end of its run.
 func (it *item) runEnded(how admission.Outcome, took admission.Tenths, result []byte) {
 	if it.ended || !it.begun || it.over {
@@ -328,8 +323,7 @@
 	it := t.of(w)
 	m := it.stamp
 	m.until = t.app.now + span
-	m.gone = m.until + t.longest
-	heap.Fix(&t.fading, m.place-1)
+	t.app.set(&m.fade, m.until+t.longest)
 }
 
 func (t *items) Forget(w *admission.WorkItem) {
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"log"
+	"math/bits"
 	"net"
 	"syscall"
 	"time"
@@ -34,12 +35,11 @@
 	redialAfter = second / 10     // and the next is made so much later, ever later up to the next figure
 	redialMost  = second
 	leaveEarly  = second / 10 // of the time to the stop, what the end of the process itself may take
+	stateEvery  = 20 * second
 	stoodStill  = second / 50 // a timer later than this is decided on only after what came in meanwhile
 )
 
-type forever = admission.Tenths
-
-const never forever = 1 << 60
+const never admission.Tenths = 1 << 60
 
 // App is one app server.
 type App struct {
@@ -64,13 +64,18 @@
 	interpreter interpreter
 	index       index
 	directory   directory
-	ending      bool
 	leaving     chan struct{}
+	stop        admission.Tenths // when all must be answered, never before the notice to leave
+	ending      bool
+	late        lags // of the timer
+	bad         int  // connections closed for what came on them
+	unread      int  // and for what lay on them unread
+	state       alarm
 }
 
 // New makes an app server; Run starts it.
 func New(p Place) *App {
-	a := &App{place: p, armed: never, leaving: make(chan struct{}, 1)}
+	a := &App{place: p, armed: never, stop: never, leaving: make(chan struct{}, 1)}
 	a.routers.start(a)
 	a.items.start(a)
 	a.interpreter.start(a)
@@ -141,7 +146,9 @@
 	}
 	a.event()
 	if err := p.traffic(data); err != nil {
-		log.Printf("event=closed peer=%s local=%s reason=%q", c.RemoteAddr(), c.LocalAddr(), err)
+		if a.bad++; a.bad&(a.bad-1) == 0 {
+			log.Printf("event=bad_peer peer=%s local=%s reason=%q count=%d", c.RemoteAddr(), c.LocalAddr(), err, a.bad)
+		}
 		return gnet.Close
 	}
 	return gnet.None
@@ -165,6 +172,8 @@
 	}()
 	a.interpreter.dial()
 	a.directory.report()
+	a.state.ring = a.tell
+	a.set(&a.state, a.now+stateEvery)
 	log.Printf("event=listening name=%s address=%s connections=%d", a.place.Name, a.place.Listen, a.routers.most)
 }
 
@@ -260,6 +269,9 @@
 		return
 	}
 	a.deferred = false
+	if len(a.alarms) > 0 {
+		a.late.add(a.now - a.alarms[0].at)
+	}
 	for len(a.alarms) > 0 && a.alarms[0].at <= a.now {
 		heap.Pop(&a.alarms).(*alarm).ring()
 	}
@@ -277,14 +289,55 @@
 func (a *App) leave() {
 	left := max(0, a.place.StopIn-min(leaveEarly, a.place.StopIn/4))
 	log.Printf("event=leaving name=%s within_ms=%d in_hand=%d", a.place.Name, left/10, a.items.inHand())
-	if a.server != nil {
-		a.server.Leave(left)
-	}
+	a.stop = a.now + left
+	a.tellLeave()
 	a.directory.report()
 	a.set(&alarm{ring: func() {
 		a.routers.closeAll()
 		a.set(&alarm{ring: a.end}, a.now+(a.place.StopIn-left)/2)
-	}}, a.now+left)
+	}}, a.stop)
+}
+
+func (a *App) tellLeave() {
+	if a.server != nil && a.stop < never {
+		a.server.Leave(max(0, a.stop-a.now))
+	}
+}
+
+// tell logs how it stands, now and then.
+func (a *App) tell() {
+	log.Printf("event=state in_hand=%d connections=%d stamps=%d calls=%d gauges_age_ms=%d timer_late_ms=%d links=%d "+
+		"reports_missed=%d bad_peers=%d unread_closed=%d", a.items.inHand(), a.routers.open, len(a.items.stamps),
+		len(a.index.calls), a.items.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread)
+	a.set(&a.state, a.now+stateEvery)
+}
+
+// lags is a histogram of short times, by powers of two, halved when it is full.
+type lags struct {
+	n     int
+	count [20]int
+}
+
+func (l *lags) add(t admission.Tenths) {
+	l.count[min(bits.Len64(uint64(max(0, t))), len(l.count)-1)]++
+	if l.n++; l.n >= 4096 {
+		l.n = 0
+		for i := range l.count {
+			l.count[i] /= 2
+			l.n += l.count[i]
+		}
+	}
+}
+
+// most gives what 99 in 100 stayed under.
+func (l *lags) most() admission.Tenths {
+	left := l.n / 100
+	for i := len(l.count) - 1; i > 0; i-- {
+		if left -= l.count[i]; left < 0 {
+			return 1 << i
+		}
+	}
+	return 0
 }
 
 func (a *App) end() {
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -14,17 +14,15 @@
 )
 
 type routers struct {
-	app       *App
-	open      int
-	most      int
-	idle      *list.List // of *router, the longest idle first
-	idleFor   admission.Tenths
-	closing   alarm
-	full      int // connections turned away
-	unread    int // connections closed as their output was not read
-	malformed int
-	good      bool
-	hint      string // the header of the free value, empty until it is said
+	app     *App
+	open    int
+	most    int
+	idle    *list.List // of *router, the longest idle first
+	idleFor admission.Tenths
+	closing alarm
+	full    int // connections turned away
+	good    bool
+	hint    string // the header of the free value, empty until it is said
 }
 
 func (r *routers) start(a *App) {
@@ -48,7 +46,7 @@
 		}
 		return nil
 	}
-	return &router{wire: wire{app: r.app}}
+	return &router{wire: wire{app: r.app, most: mostUnread}}
 }
 
 func (c *router) opened(conn gnet.Conn) {
@@ -60,12 +58,10 @@
 func (c *router) traffic(data []byte) error {
 	c.stir()
 	err := c.parser.Feed(data, c)
-	if err != nil {
-		c.app.routers.malformed++
-		return err
+	if err == nil {
+		c.rest()
 	}
-	c.rest()
-	return nil
+	return err
 }
 
 func (c *router) closed() {
