--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -164,7 +164,7 @@
 
 // begin runs once, when the loop is known.
 func (a *App) begin(thread gnet.EventLoop) {
-	a.thread = thread
+	a.thread, a.now = thread, clock()
 	a.timer = time.AfterFunc(time.Hour, func() { a.do(a.ring) })
 	go func() {
 		<-a.leaving
