Gauges are read at the wake; after a standstill the sockets go first; a failed enrolment is told

Now the wake waits for the answer, a millisecond or four round trips at most, while what is due is decided in its own batch. Enroll's result was not read: without a descriptor left the index would have stayed 'dialing' (loop.go, dial). After SIGSTOP the first timer decided before the sockets were read.

--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -104,6 +104,19 @@
 	c.answered(2, 200, "n")
 }
 
+// What came in while the machine stood still is read before late moments decide.
+func TestAMachineThatStoodStill(t *testing.T) {
+	r, v := start(t)
+	c := r.router()
+	id, due := c.brief(1), time.Now().Add(time.Second)
+	v.applied(id, "b")
+	r.NoError(r.process.Process.Signal(syscall.SIGSTOP))
+	v.value(id, "OK", "in time")
+	r.Eventually(func() bool { return time.Now().After(due) }, patience, time.Millisecond)
+	r.NoError(r.process.Process.Signal(syscall.SIGCONT))
+	c.answered(1, 200, "in time")
+}
+
 func TestACallerThatLeaves(t *testing.T) {
 	r, v := start(t)
 	c := r.router()
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -19,7 +19,7 @@
 
 const (
 	mostLine  = 256 << 10
-	leastLead = admission.Tenths(10) // gauges are asked for at least so long before they are needed
+	leastWait = admission.Tenths(10) // gauges are waited for so long at least
 	trips     = 4                    // and else so many round trips
 )
 
@@ -35,6 +35,9 @@
 	read    admission.Tenths // when they were
 	asked   admission.Tenths // 0 while no question is out
 	trip    float64
+	wanted  bool  // the module's wake waits for them
+	enough  alarm // but no longer than this
+	ages    lags  // of what it was given
 	tags    uint64
 	fence   string // the question whose answer ends what is replayed
 	errs    int
@@ -43,7 +46,7 @@
 
 func (l *interpreter) start(a *App) {
 	l.wire = wire{app: a, most: mostOnLink}
-	l.again.ring = l.dial
+	l.again.ring, l.enough.ring = l.dial, l.woken
 	l.kinds = make([][]byte, len(a.place.Terms.Categories))
 	for name, i := range a.place.Terms.Named {
 		l.kinds[i], _ = json.Marshal(name)
@@ -128,18 +131,28 @@
 	}
 }
 
-// ahead is how long before they are needed the gauges are asked for.
-func (l *interpreter) ahead() admission.Tenths {
-	return max(leastLead, admission.Tenths(trips*l.trip))
-}
-
-func (l *interpreter) ask() {
-	if l.up && l.asked == 0 {
+// wake: the module is due for the gauges. What else is due is decided in this batch; only the wake waits for them,
+// and not for long where the link is slow.
+func (l *interpreter) wake() {
+	if !l.up {
+		l.woken()
+		return
+	}
+	l.wanted = true
+	l.app.set(&l.enough, l.app.now+max(leastWait, admission.Tenths(trips*l.trip)))
+	if l.asked == 0 {
 		l.asked = l.app.now
 		l.question()
 	}
 }
 
+func (l *interpreter) woken() {
+	l.wanted = false
+	l.app.unset(&l.enough)
+	l.ages.add(l.app.now - l.read)
+	l.app.server.Woken(l.gauges)
+}
+
 func (l *interpreter) question() (tag string) {
 	l.tags++
 	tag = strconv.FormatUint(l.tags, 10)
@@ -260,6 +273,9 @@
 		l.trip += (float64(now-l.asked) - l.trip) / 8
 		l.asked = 0
 	}
+	if l.wanted {
+		l.woken()
+	}
 	if l.fence != "" && ref == l.fence {
 		l.ready()
 	}
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -27,8 +27,6 @@
 	lapsed  []*item // answered, and their runs in doubt
 	longest admission.Tenths
 	wake    alarm // the module's
-	ask     alarm // for the gauges ahead of it
-	ages    lags  // of the gauges when they were needed
 	refused int   // requests that could not be taken
 }
 
@@ -73,11 +71,7 @@
 
 func (t *items) start(a *App) {
 	t.app, t.byID, t.stamps = a, map[string]*item{}, map[string]*stamp{}
-	t.wake.ring = func() {
-		t.ages.add(a.now - a.interpreter.read)
-		a.server.Woken(a.interpreter.gauges)
-	}
-	t.ask.ring = a.interpreter.ask
+	t.wake.ring = a.interpreter.wake
 	for _, c := range a.place.Terms.Categories {
 		t.longest = max(t.longest, c.Expiry)
 	}
@@ -359,13 +353,4 @@
 	}
 }
 
-// Wake asks for the gauges so much ahead that they are there in time.
-func (t *items) Wake(after admission.Tenths) {
-	a := t.app
-	a.set(&t.wake, a.now+after)
-	if ahead := a.interpreter.ahead(); after > ahead {
-		a.set(&t.ask, a.now+after-ahead)
-	} else {
-		a.interpreter.ask()
-	}
-}
+func (t *items) Wake(after admission.Tenths) { t.app.set(&t.wake, t.app.now+after) }
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -210,6 +210,10 @@
 	if a.ending {
 		return errEnd
 	}
+	if a.deferred { // the sockets go first
+		a.queued = false
+		return nil
+	}
 	if a.server != nil {
 		a.now = max(a.now, clock())
 		a.server.At(a.now)
@@ -308,7 +312,7 @@
 func (a *App) tell() {
 	log.Printf("event=state in_hand=%d connections=%d stamps=%d calls=%d gauges_age_ms=%d timer_late_ms=%d links=%d "+
 		"reports_missed=%d bad_peers=%d unread_closed=%d", a.items.inHand(), a.routers.open, len(a.items.stamps),
-		len(a.index.calls), a.items.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread)
+		len(a.index.calls), a.interpreter.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread)
 	a.set(&a.state, a.now+stateEvery)
 }
 
@@ -350,7 +354,10 @@
 	go func() {
 		c, err := net.DialTimeout("tcp", address, dialWithin)
 		if err == nil {
-			_, err = a.thread.Enroll(gnet.NewContext(context.Background(), p), c)
+			var enrolled <-chan gnet.RegisteredResult
+			if enrolled, err = a.thread.Enroll(gnet.NewContext(context.Background(), p), c); err == nil {
+				err = (<-enrolled).Err // no descriptor was left, say
+			}
 		}
 		if err != nil {
 			a.do(func() { failed(errors.Is(err, syscall.ECONNREFUSED)) })
