--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -110,3 +110,22 @@
 	require.Len(t, a.items.stamps, 1)
 	require.True(t, a.items.byID["00000000000000ab"].begun)
 }
+
+// Of two wakes the later one comes too, though the earlier overtook it, and each brings the gauges then read.
+func TestAWakeThatWasOvertakenComesToo(t *testing.T) {
+	a, _ := running(t)
+	start, before := a.now, a.interpreter.ages.n
+	a.items.Wake(30)
+	a.items.Wake(10)
+	a.items.Wake(10)
+	for step := range admission.Tenths(40) {
+		a.now = start + step
+		a.server.At(a.now)
+		a.ring()
+		if a.interpreter.wanted {
+			require.NoError(t, a.interpreter.traffic([]byte(`{"type":"TOPS","ref":"1","gauges":[1,2]}`+"\n")))
+		}
+	}
+	require.Equal(t, 2, a.interpreter.ages.n-before)
+	require.Equal(t, 2.0, a.interpreter.gauges.OnCores)
+}
