One wake stands at a time; overtaken wakes carried out as the simulator does gained nothing

Guess: the simulator fires wakes that an earlier one overtook, the host dropped them (items.go, Wake).

--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -26,8 +26,8 @@
 	due     []*item // that share a result which is there, or will not come
 	lapsed  []*item // answered, and their runs in doubt
 	longest admission.Tenths
-	wakes   map[admission.Tenths]bool // the module's, that are set
-	refused int                       // requests that could not be taken
+	wake    alarm // the module's
+	refused int   // requests that could not be taken
 }
 
 // item is one work item, from its reading until the module is through with it.
@@ -70,7 +70,8 @@
 }
 
 func (t *items) start(a *App) {
-	t.app, t.byID, t.stamps, t.wakes = a, map[string]*item{}, map[string]*stamp{}, map[admission.Tenths]bool{}
+	t.app, t.byID, t.stamps = a, map[string]*item{}, map[string]*stamp{}
+	t.wake.ring = a.interpreter.wake
 	for _, c := range a.place.Terms.Categories {
 		t.longest = max(t.longest, c.Expiry)
 	}
@@ -352,16 +353,5 @@
 	}
 }
 
-// Wake is carried out also where an earlier one overtakes it, in steps of the deployment's period, as the simulator
-// does: the module reads its gauges at each. Dropping those overtaken makes the pool slower to follow the cores.
-func (t *items) Wake(after admission.Tenths) {
-	step := max(1, t.app.place.Terms.Period)
-	at := (t.app.now + after + step - 1) / step * step
-	if !t.wakes[at] {
-		t.wakes[at] = true
-		t.app.set(&alarm{ring: func() {
-			delete(t.wakes, at)
-			t.app.interpreter.wake()
-		}}, at)
-	}
-}
+// Wake leaves one wake: the module sets the next at each, so one that an earlier one overtook tells it nothing.
+func (t *items) Wake(after admission.Tenths) { t.app.set(&t.wake, t.app.now+after) }
