--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -39,7 +39,9 @@
 			app.Leave()
 		}
 	}()
-	if err := app.Run(); err != nil {
+	if err := app.Run(); errors.Is(err, appserver.ErrLoop) {
+		log.Fatalf("event=failed reason=%q", err)
+	} else if err != nil {
 		fail(err)
 	}
 }
--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -222,6 +222,29 @@
 	c.answered(3, 200, "w")
 }
 
+// A stamped run that was sent on a link that broke, and never heard of, is answered at its time and never run again;
+// and its place is free.
+func TestARunInDoubt(t *testing.T) {
+	r, v := start(t)
+	c := r.router()
+	book := func(slot uint16, budget string) string {
+		with := fields(r.id())
+		with["HTTP_ONCE_KEY"], with["HTTP_BUDGET_MS"] = "k", budget
+		c.ask(slot, "/rpc/book", "e", with)
+		return with["HTTP_REQUEST_ID"]
+	}
+	v.applied(book(1, "700"), "e")
+	v.Close()
+	v = r.up(0)
+	c.answered(1, 500, "")
+	book(2, "5000")
+	c.answered(2, 500, "")
+	v.applied(c.look(3, "no run of the stamp came before"), "no run of the stamp came before")
+	r.NoError(r.process.Process.Signal(syscall.SIGTERM))
+	_, log := r.exit()
+	r.Contains(log, "event=leaving name=n3 within_ms=1400 in_hand=1\n")
+}
+
 func TestALineThatIsNoNotice(t *testing.T) {
 	r, v := start(t)
 	r.say(v.link, "no notice")
@@ -250,7 +273,11 @@
 	r.line(x)
 	r.say(x, "%s SLOW\r", id)
 	c.answered(1, 500, "")
+	c.book(3, "k") // shares a run that waits at a call, and ends as it does
 	v.value(id, "STOPPED", "")
+	c.answered(3, 500, "")
+	c.book(4, "k")
+	c.answered(4, 500, "")
 	harmless := c.look(2, "h")
 	v.applied(harmless, "h")
 	v.await(harmless, "q")
--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -76,12 +76,8 @@
 
 // late: the time that the module gave is over. A call that never left is no call.
 func (x *index) late(c *call) {
-	if how := admission.Unseen; c.sent {
-		x.cancel(c)
-		x.end(c, admission.Unknown)
-	} else {
-		x.end(c, how)
-	}
+	x.cancel(c)
+	x.endBroken(c)
 }
 
 func (x *index) cancel(c *call) {
@@ -115,11 +111,15 @@
 // lost ends what was out: what was never sent provably never ran, of the rest nothing is known.
 func (x *index) lost() {
 	for c := range x.calls {
-		if c.sent {
-			x.end(c, admission.Unknown)
-		} else {
-			x.end(c, admission.Unseen)
-		}
+		x.endBroken(c)
+	}
+}
+
+func (x *index) endBroken(c *call) {
+	if c.sent {
+		x.end(c, admission.Unknown)
+	} else {
+		x.end(c, admission.Unseen)
 	}
 }
 
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -89,7 +89,7 @@
 			it.runEnded(admission.NeverBegun, 0, nil)
 		case it.toRun && !it.heard:
 			l.run(it)
-		case it.toGoOn != nil:
+		case it.toGoOn != nil && it.conn != nil:
 			l.goOn(it, it.toGoOn)
 		}
 		if it.toStop {
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -107,7 +107,7 @@
 	arrival.Door = it.door
 	var key string
 	if a.place.Terms.Categories[it.category].Effect == admission.Stamped {
-		key = string(s.Field("HTTP_ONCE_KEY"))
+		key = strconv.Itoa(it.category) + " " + string(s.Field("HTTP_ONCE_KEY")) // no result for another category
 		if before := t.stamps[key]; before != nil {
 			if before.owner != nil || reached < before.until {
 				arrival.Repeats, it.stamp = true, before
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"context"
 	"errors"
+	"fmt"
 	"log"
 	"math/bits"
 	"net"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
 
 	"thistlequay/admission"
 	"thistlequay/internal/deployment"
@@ -84,6 +86,9 @@
 	return a
 }
 
+// ErrLoop is what Run gives where the loop ended though nobody asked for it.
+var ErrLoop = errors.New("the loop ended by itself")
+
 // Run serves until the notice to leave has been carried out. An address in use is an error before anything else.
 func (a *App) Run() error {
 	// gnet shares its address by SO_REUSEPORT where one loop also accepts; a plain listener tells if it is taken.
@@ -92,8 +97,13 @@
 		return err
 	}
 	l.Close()
-	return gnet.Run(a, "tcp://"+a.place.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
-		gnet.WithReadBufferCap(1<<16), gnet.WithWriteBufferCap(bufferSize), gnet.WithLogger(engineLog{}))
+	err = gnet.Run(a, "tcp://"+a.place.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
+		gnet.WithReuseAddr(true), gnet.WithReadBufferCap(1<<16), gnet.WithWriteBufferCap(bufferSize),
+		gnet.WithLogger(engineLog{}))
+	if err == nil && !a.ending {
+		err = ErrLoop
+	}
+	return err
 }
 
 // Leave is the notice to leave. A second one changes nothing.
@@ -185,7 +195,7 @@
 			what()
 		}
 		if a.ending {
-			return errEnd
+			return gerrors.ErrEngineShutdown
 		}
 		return nil
 	}))
@@ -208,7 +218,7 @@
 // flush ends the batch: the module decides once, and each connection is written once.
 func (a *App) flush(context.Context) error {
 	if a.ending {
-		return errEnd
+		return gerrors.ErrEngineShutdown
 	}
 	if a.deferred { // the sockets go first
 		a.queued = false
@@ -372,3 +382,18 @@
 	b.last = min(max(redialAfter, 2*b.last), redialMost)
 	return b.last
 }
+
+// engineLog passes on what gnet has to say that matters.
+type engineLog struct{}
+
+func (engineLog) Debugf(string, ...any) {}
+func (engineLog) Infof(string, ...any)  {}
+func (engineLog) Warnf(f string, args ...any) {
+	log.Printf("event=engine_warning text=%q", fmt.Sprintf(f, args...))
+}
+func (engineLog) Errorf(f string, args ...any) {
+	log.Printf("event=engine_error text=%q", fmt.Sprintf(f, args...))
+}
+func (engineLog) Fatalf(f string, args ...any) {
+	log.Fatalf("event=engine_fatal text=%q", fmt.Sprintf(f, args...))
+}
