--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -38,7 +38,6 @@
 	redialMost  = second
 	leaveEarly  = second / 10 // of the time to the stop, what the end of the process itself may take
 	stateEvery  = 20 * second
-	stoodStill  = second / 50 // a timer later than this is decided on only after what came in meanwhile
 )
 
 const never admission.Tenths = 1 << 60
@@ -56,10 +55,9 @@
 	dirty  []*wire // what has output for the end of the batch
 	pool   buffers
 
-	alarms   alarms
-	timer    *time.Timer
-	armed    admission.Tenths
-	deferred bool // a late timer has already let the sockets go first
+	alarms alarms
+	timer  *time.Timer
+	armed  admission.Tenths
 
 	routers     routers
 	items       items
@@ -220,10 +218,6 @@
 	if a.ending {
 		return gerrors.ErrEngineShutdown
 	}
-	if a.deferred { // the sockets go first
-		a.queued = false
-		return nil
-	}
 	if a.server != nil {
 		a.now = max(a.now, clock())
 		a.server.At(a.now)
@@ -272,17 +266,10 @@
 	}
 }
 
-// ring is the timer. Where the machine stood still, the sockets are read once before late alarms speak: what
-// came in meanwhile, an answer or a caller that left, may have settled what they are about.
+// ring is the timer. gnet runs what it was handed only after it has read the sockets that are ready: where the
+// machine stood still, an answer or a caller's leave that came in meanwhile is taken before late alarms decide.
 func (a *App) ring() {
 	a.armed = never
-	if len(a.alarms) > 0 && !a.deferred && a.now-a.alarms[0].at > stoodStill {
-		a.deferred = true
-		a.armed = a.now
-		a.timer.Reset(0)
-		return
-	}
-	a.deferred = false
 	if len(a.alarms) > 0 {
 		a.late.add(a.now - a.alarms[0].at)
 	}
@@ -292,7 +279,7 @@
 }
 
 func (a *App) arm() {
-	if a.timer == nil || len(a.alarms) == 0 || a.alarms[0].at == a.armed || a.deferred {
+	if a.timer == nil || len(a.alarms) == 0 || a.alarms[0].at == a.armed {
 		return
 	}
 	a.armed = a.alarms[0].at
