--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -188,6 +188,8 @@
 	m.sharers = nil
 }
 
+func (t *items) unsettled() bool { return len(t.due)+len(t.lapsed) > 0 }
+
 // settle answers those that share a result, once the try that they share is over, and closes the books on runs
 // that nobody waits for and that may never have begun: else they would hold their place for ever.
 func (t *items) settle() {
@@ -197,22 +199,20 @@
 		}
 	}
 	t.lapsed = t.lapsed[:0]
-	for len(t.due) > 0 {
-		due := t.due
-		t.due = nil
-		for _, it := range due {
-			if it.over {
-				continue
-			}
-			how := admission.Badly
-			if it.stamp.ended && it.stamp.well {
-				how = admission.Well
-				it.answer("200 OK", "", it.stamp.result)
-			} else {
-				it.answer("500 The other try failed", "", nil)
-			}
-			it.handle.RunEnded(how, t.app.now-it.taken)
+	due := t.due
+	t.due = nil
+	for _, it := range due {
+		if it.over {
+			continue
+		}
+		how := admission.Badly
+		if it.stamp.ended && it.stamp.well {
+			how = admission.Well
+			it.answer("200 OK", "", it.stamp.result)
+		} else {
+			it.answer("500 The other try failed", "", nil)
 		}
+		it.handle.RunEnded(how, t.app.now-it.taken)
 	}
 }
 
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -46,7 +46,6 @@
 type App struct {
 	gnet.BuiltinEventEngine
 	place  Place
-	engine gnet.Engine
 	thread gnet.EventLoop
 
 	server *admission.Server // nil until the interpreter is up
@@ -113,8 +112,7 @@
 }
 
 // OnBoot knocks at the own door, as only a connection tells which loop there is.
-func (a *App) OnBoot(e gnet.Engine) gnet.Action {
-	a.engine = e
+func (a *App) OnBoot(gnet.Engine) gnet.Action {
 	go func() {
 		if c, err := net.DialTimeout("tcp", a.place.Listen, dialWithin); err == nil {
 			c.Close()
@@ -137,7 +135,7 @@
 	a.event()
 	p, known := c.Context().(peer)
 	if !known {
-		if p = a.routers.accept(c); p == nil {
+		if p = a.routers.accept(); p == nil {
 			return nil, gnet.Close
 		}
 		c.SetContext(p)
@@ -223,9 +221,11 @@
 		a.server.At(a.now)
 		a.items.settle()
 		a.server.Decide()
-		a.items.settle()
 	}
-	a.queued = false // what a write closes opens the next batch
+	a.queued = false // what is left to settle, or a write closes, opens the next batch
+	if a.items.unsettled() {
+		a.event()
+	}
 	dirty := a.dirty
 	a.dirty = nil
 	for _, w := range dirty {
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -39,7 +39,7 @@
 	since  admission.Tenths
 }
 
-func (r *routers) accept(gnet.Conn) peer {
+func (r *routers) accept() peer {
 	if r.open >= r.most {
 		if r.full++; r.full&(r.full-1) == 0 {
 			log.Printf("event=table_full connections=%d turned_away=%d", r.open, r.full)
