--- /dev/null
+++ b/internal/appserver/sequence_test.go
@@ -0,0 +1,161 @@
+package appserver
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/admission"
+	"thistlequay/internal/fastcgi"
+)
+
+// nowhere is a connection that nothing leaves, noLoop its loop.
+type nowhere struct{ gnet.Conn }
+
+func (nowhere) Write(b []byte) (int, error) { return len(b), nil }
+func (nowhere) OutboundBuffered() int       { return 0 }
+
+type noLoop struct{ gnet.EventLoop }
+
+func (noLoop) Execute(context.Context, gnet.Runnable) error { return nil }
+func (noLoop) Close(gnet.Conn) error                        { return nil }
+
+var applied = regexp.MustCompile(`APPLY","job":"(\w+)"`)
+
+// play makes a sequence of what can happen of the bytes. In the end every request must have had its one answer, and
+// no stamp more than one run.
+func play(t *testing.T, data []byte) {
+	a, first := running(t)
+	a.thread = noLoop{}
+	a.interpreter.conn = nowhere{}
+	conns, open := []*router{first, {wire: wire{app: a}}}, 1
+	for _, c := range conns {
+		c.conn = nowhere{}
+	}
+	ids, notices, before := 0, 0, broken.Load()
+	keys, reached := map[string]byte{job: 'k'}, map[string]admission.Tenths{job: a.now} // by id
+	runs, ran := map[string]bool{}, map[byte]admission.Tenths{}                         // by id; by key, when its try came
+	hear := func(format string, args ...any) {
+		require.NoError(t, a.interpreter.traffic([]byte(fmt.Sprintf(format, args...)+"\n")))
+	}
+	answerQuestions := func() {
+		for _, l := range strings.Split(string(a.interpreter.out), "\n") {
+			if tag, found := strings.CutPrefix(l, `{"type":"TOP","ref":"`); found && a.interpreter.conn != nil {
+				defer hear(`{"type":"TOPS","ref":"%s","gauges":[0.5,1]}`, strings.TrimSuffix(tag, `"}`))
+			}
+		}
+		for _, m := range applied.FindAllSubmatch(a.interpreter.out, -1) {
+			id := string(m[1])
+			last, before := ran[keys[id]]
+			require.False(t, runs[id] || before && reached[id] < last+50_000, "a run begun twice")
+			runs[id], ran[keys[id]] = true, reached[id]
+		}
+		a.interpreter.out = nil
+	}
+	decide := func() {
+		for range 3 {
+			a.items.settle()
+			a.server.Decide()
+			answerQuestions()
+		}
+		for _, c := range conns {
+			c.out = nil
+		}
+		a.index.out, a.dirty = nil, nil
+	}
+	pass := func(span admission.Tenths) {
+		a.now += span
+		a.server.At(a.now)
+		a.ring()
+		decide()
+	}
+	pick := func(n byte) *item { // any in hand, the same each time
+		var best *item
+		for id := 0; id <= ids && best == nil; id++ {
+			best = a.items.byID[fmt.Sprintf("%016x", 0xaa+(id+int(n))%(ids+1))]
+		}
+		return best
+	}
+	ends := []string{"OK", "ERROR", "STOPPED", "MOOT"}
+	answers := []string{"HIT 2\r\nok", "SHED", "BROKEN", "SLOW", "NOBODY"}
+	for len(data) >= 2 {
+		what, n := data[0]%10, data[1]
+		data = data[2:]
+		it := pick(n)
+		switch c := conns[n%2]; what {
+		case 0, 1, 2: // a request
+			if c.conn == nil || c.parser.Open() == fastcgi.MostOpen || open > 200 {
+				break
+			}
+			ids++
+			open++
+			id := fmt.Sprintf("%016x", 0xaa+ids)
+			keys[id], reached[id] = 'k'+n%3, a.now/10*10
+			text := bytes.ReplaceAll([]byte(request), []byte(job), []byte(id))
+			text = bytes.Replace(text, []byte("HTTP_ONCE_KEYk"), fmt.Appendf(nil, "HTTP_ONCE_KEY%c", 'k'+n%3), 1)
+			text = bytes.Replace(text, []byte("1000000"), fmt.Appendf(nil, "%07d", a.now/10), 1)
+			for p := 0; p < len(text); p += 8 + int(text[p+5]) {
+				text[p+2], text[p+3] = byte(open>>8), byte(open)
+			}
+			require.NoError(t, c.parser.Feed(text, c))
+		case 3: // its caller stops waiting
+			if it != nil && it.conn != nil {
+				slot := it.stream.ID
+				require.NoError(t, it.conn.parser.Feed([]byte{1, 2, byte(slot >> 8), byte(slot), 0, 0, 0, 0}, it.conn))
+			}
+		case 4:
+			if it != nil && it.sent && a.interpreter.conn != nil {
+				notices++
+				hear(`{"type":"VALUE","n":%d,"job":"%s","state":"%s","took":9,"data":"eA=="}`, notices, it.id, ends[n%4])
+			}
+		case 5:
+			if it != nil && it.sent && it.call == nil && a.interpreter.conn != nil {
+				notices++
+				hear(`{"type":"AWAIT","n":%d,"job":"%s","data":"eA=="}`, notices, it.id)
+			}
+		case 6: // the index answers, or comes up, or goes
+			switch {
+			case a.index.conn == nil:
+				a.index.opened(nowhere{})
+			case n > 200:
+				a.index.closed()
+			case it != nil:
+				require.NoError(t, a.index.traffic([]byte(it.id+" "+answers[n%5]+"\r\n")))
+			}
+		case 7: // the interpreter's link breaks, or comes back
+			if a.interpreter.conn != nil {
+				a.interpreter.closed()
+			} else {
+				a.interpreter.opened(nowhere{})
+				hear(`{"type":"BANNER","state":"WARM","took":1}`)
+			}
+		case 8:
+			if n > 250 && c.conn != nil {
+				c.closed()
+			} else if n == 7 {
+				a.server.Leave(20_000)
+			}
+		}
+		decide()
+		pass(admission.Tenths(n) * 4)
+	}
+	for range 900 { // all that is owed is due by then
+		pass(100)
+	}
+	for _, c := range conns {
+		require.Zero(t, c.parser.Open(), "requests without an answer")
+	}
+	require.Equal(t, before, broken.Load())
+}
+
+func FuzzSequences(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 2, 0, 4, 4, 0, 4, 1, 0, 0, 5, 0, 6, 0, 6, 3, 6, 0, 8, 7, 0, 1})
+	f.Add([]byte{0, 0, 0, 1, 7, 0, 0, 3, 7, 0, 4, 0, 3, 1, 8, 255, 8, 254, 0, 0, 4, 1})
+	f.Fuzz(play)
+}
