--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -287,11 +287,8 @@
 	}
 	var out []byte
 	err := pairs(p.small, func(name, _ []byte) {
-		switch string(name) {
-		case "FCGI_MPXS_CONNS":
+		if string(name) == "FCGI_MPXS_CONNS" { // how many are taken is decided item by item: no figure for that
 			out = appendPair(out, name, "1")
-		case "FCGI_MAX_REQS":
-			out = appendPair(out, name, "32")
 		}
 	})
 	if err != nil {
