--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -350,6 +350,7 @@
 func (t *items) CloseIdle(after admission.Tenths) {
 	if after > 0 {
 		t.app.routers.idleFor = after
+		t.app.routers.closeIdle() // those that came before this was said
 	}
 }
 
