After a standstill the sockets are read once more before alarms and the module speak

Seen: TestAMachineThatStoodStill failed once in some ten runs on four busy cores, a run that had ended in time broken off.

--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -135,3 +135,18 @@
 	require.Equal(t, 0, pass(10+leastWait-1, false))
 	require.Equal(t, 1, pass(1, false))
 }
+
+// After a standstill neither alarms nor the module speak before the sockets have been read once more.
+func TestAStandstillLetsTheSocketsGoFirst(t *testing.T) {
+	a, _ := running(t)
+	a.thread = noLoop{}
+	rang := 0
+	a.set(&alarm{ring: func() { rang++ }}, a.now+1)
+	a.now += stoodStill + 2
+	a.ring()
+	require.True(t, a.afterStandstill())
+	require.Zero(t, rang)
+	a.goOn()
+	require.False(t, a.afterStandstill())
+	require.Equal(t, 1, rang)
+}
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -38,6 +38,7 @@
 	redialMost  = second
 	leaveEarly  = second / 10 // of the time to the stop, what the end of the process itself may take
 	stateEvery  = 20 * second
+	stoodStill  = second / 50 // where an alarm is later than this, the machine stood still
 )
 
 const never admission.Tenths = 1 << 60
@@ -57,6 +58,7 @@
 	alarms alarms
 	timer  *time.Timer
 	armed  admission.Tenths
+	round  int // after a standstill
 
 	routers     routers
 	items       items
@@ -216,8 +218,13 @@
 	if a.ending {
 		return gerrors.ErrEngineShutdown
 	}
+	a.now = max(a.now, clock())
+	if a.afterStandstill() {
+		a.queued = false
+		return nil
+	}
+	a.round = usual
 	if a.server != nil {
-		a.now = max(a.now, clock())
 		a.server.At(a.now)
 		a.items.settle()
 		a.server.Decide()
@@ -266,10 +273,34 @@
 	}
 }
 
-// ring is the timer. gnet runs what it was handed only after it has read the sockets that are ready: where the
-// machine stood still, an answer or a caller's leave that came in meanwhile is taken before late alarms decide.
+// Rounds after a standstill.
+const (
+	usual   = iota
+	waiting // the sockets are being read
+	read    // and have been
+)
+
+// afterStandstill says that decisions wait until the sockets have been read once more. Where the machine stood
+// still, in whatever the loop was doing, what came in meanwhile (an answer, a caller's leave) goes before late alarms.
+func (a *App) afterStandstill() bool {
+	if a.round == usual && len(a.alarms) > 0 && a.now-a.alarms[0].at > stoodStill {
+		a.round = waiting
+		time.AfterFunc(0, func() { a.do(a.goOn) }) // from outside the loop: it polls before it takes this up
+	}
+	return a.round == waiting
+}
+
+func (a *App) goOn() {
+	a.round = read
+	a.ring()
+}
+
+// ring is the timer.
 func (a *App) ring() {
 	a.armed = never
+	if a.afterStandstill() {
+		return
+	}
 	if len(a.alarms) > 0 {
 		a.late.add(a.now - a.alarms[0].at)
 	}
--- a/internal/appserver/sequence_test.go
+++ b/internal/appserver/sequence_test.go
@@ -72,7 +72,7 @@
 	pass := func(span admission.Tenths) {
 		a.now += span
 		a.server.At(a.now)
-		a.ring()
+		a.goOn() // as after a standstill: the steps are long
 		decide()
 	}
 	pick := func(n byte) *item { // any in hand, the same each time
