--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -246,10 +246,9 @@
 
 func (i *instance) woken(f *fields) error {
 	var row []float64
-	for cell := range strings.SplitSeq(f.values["Usage"], ",") {
-		if cell == "" {
-			continue
-		}
+	for rest := f.values["Usage"]; rest != ""; {
+		var cell string
+		cell, rest, _ = strings.Cut(rest, ",")
 		v, err := strconv.ParseFloat(cell, 64)
 		if err != nil {
 			return fmt.Errorf("gauge %q is not a number", cell)
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -76,6 +76,7 @@
 		start + "MARK T=11\nFOR Server=server-1\nENDED\nEOF_BATCH\n":                                "no Xid",
 		start + "MARK T=11\nFOR Server=server-1\nINBOUND junk\nEOF_BATCH\n":                         "not name=value",
 		start + "MARK T=11\nFOR Server=server-1\nDEADLINE_HIT Usage=1,z\nEOF_BATCH\n":               "not a number",
+		start + "MARK T=11\nFOR Server=server-1\nDEADLINE_HIT Usage=,1\nEOF_BATCH\n":                "not a number",
 		"MARK T=1\nFOR Server=a\nCREATE Env={\nEOF_BATCH\n":                                         "can't be read",
 		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 OriginPeer=99999999999\nEOF_BATCH\n": "out of range",
 		start + "MARK T=11\nFOR Server=server-1\nINBOUND Xid=5 TimeLeft=1e300\nEOF_BATCH\n":         "out of range",
