--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -15,7 +15,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"thistlequay/admission"
 	"thistlequay/internal/appserver"
 	"thistlequay/internal/deployment"
 )
@@ -97,5 +96,5 @@
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
 	debug.SetMemoryLimit(int64(math.Round(c.Limits.MemoryMb * heapPart * (1 << 20))))
 	return appserver.Place{Name: c.Name, Listen: c.Listen, Interpreter: c.VM, Index: c.Index, Directory: c.Lookup,
-		StopIn: admission.Tenths(c.StopMs * 10), Sockets: c.Limits.Sockets, Terms: terms}, nil
+		StopIn: deployment.Down(c.StopMs), Sockets: c.Limits.Sockets, Terms: terms}, nil
 }
--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -85,10 +85,7 @@
 	o := v.next()
 	r.Equal("BREAK "+id, o.Type+" "+o.Job)
 	v.value(id, "STOPPED", "")
-	next := c.look(2, "next")
-	v.applied(next, "next")
-	v.value(next, "OK", "n")
-	c.answered(2, 200, "n")
+	v.serves(c, 2, "next")
 }
 
 // What came in while the machine stood still is read before late moments decide.
@@ -123,10 +120,7 @@
 	o = v.next()
 	r.Equal("BREAK "+id, o.Type+" "+o.Job)
 	v.value(id, "MOOT", "")
-	id = c.look(1, "again under the same record id")
-	v.applied(id, "again under the same record id")
-	v.value(id, "OK", "")
-	c.answered(1, 200, "")
+	v.serves(c, 1, "again under the same record id")
 }
 
 // Each way that a try of a stamped work item can find another: held, running, ended well, ended badly.
@@ -289,10 +283,7 @@
 	x := r.link(r.index)
 	r.Contains(r.line(x), "GET "+id)
 	r.line(x)
-	other := c.look(2, "other")
-	v.applied(other, "other")
-	v.value(other, "OK", "o")
-	c.answered(2, 200, "o")
+	v.serves(c, 2, "other")
 	r.Equal("STOP "+id, r.line(x))
 	c.answered(1, 500, "")
 }
@@ -337,10 +328,7 @@
 	r.directory.listener.Close()
 	d.Close()
 	c := r.router()
-	id := c.look(1, "without a directory")
-	v.applied(id, "without a directory")
-	v.value(id, "OK", "")
-	c.answered(1, 200, "")
+	v.serves(c, 1, "without a directory")
 }
 
 func TestBadPeersLoseOnlyTheirConnection(t *testing.T) {
@@ -478,10 +466,7 @@
 	}
 	all[49].over()
 	r.LessOrEqual(descriptors(), 64)
-	id := first.look(1, "goes on")
-	v.applied(id, "goes on")
-	v.value(id, "OK", "")
-	first.answered(1, 200, "")
+	v.serves(first, 1, "goes on")
 	for _, c := range all {
 		c.Close()
 	}
--- a/cmd/thistlequay/standins_test.go
+++ b/cmd/thistlequay/standins_test.go
@@ -326,6 +326,14 @@
 	c.r.Equal(fmt.Sprint(slot, " ", status, " ", body), fmt.Sprint(s, " ", got, " ", text), headers)
 }
 
+// serves asks for a work item, has it run and checks that its result is the answer.
+func (v *vm) serves(c *router, slot uint16, body string) {
+	id := c.look(slot, body)
+	v.applied(id, body)
+	v.value(id, "OK", "result of "+body)
+	c.answered(slot, 200, "result of "+body)
+}
+
 // over says that the other side closed the connection.
 func (c *router) over() {
 	_, err := io.Copy(io.Discard, c.in)
--- a/internal/appserver/directory.go
+++ b/internal/appserver/directory.go
@@ -38,7 +38,7 @@
 	case d.conn == nil:
 		if !d.dialing {
 			d.dialing = true
-			d.app.dial(d.app.place.Directory, d, func(bool) { d.dialing = false })
+			d.app.dial(d.app.place.Directory, d, func() { d.dialing = false })
 		}
 	case d.owed:
 		d.missed++
--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -58,7 +58,7 @@
 		x.send(c)
 	case !x.dialing:
 		x.dialing = true
-		x.app.dial(x.app.place.Index, x, func(bool) {
+		x.app.dial(x.app.place.Index, x, func() {
 			x.dialing = false
 			x.lost()
 		})
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -54,7 +54,7 @@
 }
 
 func (l *interpreter) dial() {
-	l.app.dial(l.app.place.Interpreter, l, func(bool) { l.app.set(&l.again, l.app.now+l.backOff.next()) })
+	l.app.dial(l.app.place.Interpreter, l, func() { l.app.set(&l.again, l.app.now+l.backOff.next()) })
 }
 
 func (l *interpreter) opened(c gnet.Conn) {
@@ -230,7 +230,7 @@
 	case "TOPS":
 		return l.tops(n.Ref, n.Gauges)
 	case "ERROR":
-		if l.errs++; l.errs&(l.errs-1) == 0 {
+		if often(&l.errs) {
 			log.Printf("event=interpreter_error command=%s id=%s count=%d", n.State, n.Job, l.errs)
 		}
 		if it != nil && it.begun && n.State == "APPLY" {
--- a/internal/appserver/invariant_debug.go
+++ b/internal/appserver/invariant_debug.go
@@ -4,10 +4,6 @@
 // once. It must never be the way that bad input is answered.
 package appserver
 
-import "sync/atomic"
-
-var broken atomic.Int64
-
 func must(holds bool, what string) {
 	if !holds {
 		panic("invariant broken: " + what)
--- a/internal/appserver/invariant_release.go
+++ b/internal/appserver/invariant_release.go
@@ -4,17 +4,12 @@
 // logged, each count that is a power of two. It must never stop the program.
 package appserver
 
-import (
-	"log"
-	"sync/atomic"
-)
-
-var broken atomic.Int64
+import "log"
 
 func must(holds bool, what string) {
 	if !holds {
-		if n := broken.Add(1); n&(n-1) == 0 {
-			log.Printf("event=invariant_broken what=%q count=%d", what, n)
+		if often(&broken) {
+			log.Printf("event=invariant_broken what=%q count=%d", what, broken)
 		}
 	}
 }
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if status != "" {
-		if t.refused++; t.refused&(t.refused-1) == 0 {
+		if often(&t.refused) {
 			log.Printf("event=unusable_request status=%q count=%d", status, t.refused)
 		}
 		c.answer(s, status, "", nil)
@@ -184,6 +184,11 @@
 		delete(t.stamps, m.key)
 	}
 	t.app.unset(&m.fade)
+	t.release(m)
+}
+
+// release has those that share the stamp's result answered: it is there, or will not come.
+func (t *items) release(m *stamp) {
 	t.due = append(t.due, m.sharers...)
 	m.sharers = nil
 }
@@ -255,8 +260,7 @@
 	}
 	if m := it.stamp; m != nil {
 		m.ended, m.well, m.result = true, how == admission.Well, result
-		it.app.items.due = append(it.app.items.due, m.sharers...)
-		m.sharers = nil
+		it.app.items.release(m)
 	}
 	it.handle.RunEnded(how, took)
 }
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -12,7 +12,6 @@
 	"log"
 	"math/bits"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -154,7 +153,7 @@
 	}
 	a.event()
 	if err := p.traffic(data); err != nil {
-		if a.bad++; a.bad&(a.bad-1) == 0 {
+		if often(&a.bad) {
 			log.Printf("event=bad_peer peer=%s local=%s reason=%q count=%d", c.RemoteAddr(), c.LocalAddr(), err, a.bad)
 		}
 		return gnet.Close
@@ -344,6 +343,15 @@
 	a.set(&a.state, a.now+stateEvery)
 }
 
+// broken counts what had to hold and did not.
+var broken int
+
+// often counts and says whether that is worth a line in the log: at each power of two.
+func often(count *int) bool {
+	*count++
+	return *count&(*count-1) == 0
+}
+
 // lags is a histogram of short times, by powers of two, halved when it is full.
 type lags struct {
 	n     int
@@ -373,12 +381,12 @@
 }
 
 func (a *App) end() {
-	log.Printf("event=ended name=%s in_hand=%d broken_invariants=%d", a.place.Name, a.items.inHand(), broken.Load())
+	log.Printf("event=ended name=%s in_hand=%d broken_invariants=%d", a.place.Name, a.items.inHand(), broken)
 	a.ending = true
 }
 
 // dial connects to another party off the loop and gives the connection to p, or calls failed on the loop.
-func (a *App) dial(address string, p peer, failed func(refused bool)) {
+func (a *App) dial(address string, p peer, failed func()) {
 	go func() {
 		c, err := net.DialTimeout("tcp", address, dialWithin)
 		if err == nil {
@@ -388,7 +396,7 @@
 			}
 		}
 		if err != nil {
-			a.do(func() { failed(errors.Is(err, syscall.ECONNREFUSED)) })
+			a.do(failed)
 		}
 	}()
 }
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -41,7 +41,7 @@
 
 func (r *routers) accept() peer {
 	if r.open >= r.most {
-		if r.full++; r.full&(r.full-1) == 0 {
+		if often(&r.full) {
 			log.Printf("event=table_full connections=%d turned_away=%d", r.open, r.full)
 		}
 		return nil
@@ -123,11 +123,11 @@
 
 func (c *router) Whole(s *fastcgi.Stream) {
 	if string(s.Field("SCRIPT_NAME")) == "/health" {
-		if c.app.routers.good {
-			c.answer(s, "200 OK", "", nil)
-		} else {
-			c.answer(s, "503 Leaving", "", nil)
+		status := "200 OK"
+		if !c.app.routers.good {
+			status = "503 Leaving"
 		}
+		c.answer(s, status, "", nil)
 		return
 	}
 	c.app.items.take(c, s)
--- a/internal/appserver/sequence_test.go
+++ b/internal/appserver/sequence_test.go
@@ -38,7 +38,7 @@
 	for _, c := range conns {
 		c.conn = nowhere{}
 	}
-	ids, notices, before := 0, 0, broken.Load()
+	ids, notices, before := 0, 0, broken
 	keys, reached := map[string]byte{job: 'k'}, map[string]admission.Tenths{job: a.now} // by id
 	runs, ran := map[string]bool{}, map[byte]admission.Tenths{}                         // by id; by key, when its try came
 	hear := func(format string, args ...any) {
@@ -151,7 +151,7 @@
 	for _, c := range conns {
 		require.Zero(t, c.parser.Open(), "requests without an answer")
 	}
-	require.Equal(t, before, broken.Load())
+	require.Equal(t, before, broken)
 }
 
 func FuzzSequences(f *testing.F) {
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -32,7 +32,6 @@
 // Ends of a request, as END_REQUEST tells them.
 const (
 	Complete    = 0
-	Overloaded  = 2
 	UnknownRole = 3
 )
 
@@ -92,7 +91,7 @@
 	small   []byte // content of records that are handled whole: begin, abort, management
 }
 
-// smallest bound of what is handled whole
+// mostSmall bounds the records that are handled whole.
 const mostSmall = 1024
 
 // Open is how many requests are open.
