SIGHUP moves to new addresses; odd requests refused by name; one call a connection

Seen: on reload the program exited with 129, as SIGHUP was never taken (main.go). Now the file is read again; the interpreter's old link is used until the new one stands, the index's old connections end their calls and carry no new ones, the directory hears at once; a dial under way to an old address is dropped. What can't change is said. Seen: bad clients answered as served. items.go matched a stamp by its key alone and never looked at Account, Priority-Rank, REQUEST_METHOD or a field given twice. A stamp now keeps a digest of its body; another body gets 422. A run that the interpreter does not know frees its stamp, which the later, true try would have failed on. Seen: index.go put all calls on one connection, and went on using one whose reply never came. Now a connection carries one call; one on which a call went wrong, or more came than its own reply, is closed; none rests for long. Interpreter: runs and replies of the last moment before a break are given again after the replay, one with effects too: an APPLY does nothing where its request runs and starts nothing where that is over.

--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -31,13 +31,23 @@
 		fail(err)
 	}
 	app := appserver.New(place)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	leave, again := make(chan os.Signal, 1), make(chan os.Signal, 1) // apart: many of one never crowd out the other
+	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(again, syscall.SIGHUP)
 	go func() {
-		for range signals {
+		for range leave {
 			app.Leave()
 		}
 	}()
+	go func() {
+		for range again {
+			if place, err := configure(os.Getenv("PROXY_CONFIG")); err != nil {
+				log.Printf("event=configuration_kept reason=%q", err)
+			} else {
+				app.Move(place)
+			}
+		}
+	}()
 	if err := app.Run(); errors.Is(err, appserver.ErrLoop) {
 		log.Fatalf("event=failed reason=%q", err)
 	} else if err != nil {
--- a/internal/appserver/directory.go
+++ b/internal/appserver/directory.go
@@ -19,11 +19,11 @@
 
 type directory struct {
 	wire
-	dialing bool
-	owed    bool // a report has not been answered
-	carry   []byte
-	next    alarm
-	missed  int // reports that were not answered
+	link   *dialled // from its dial on
+	owed   bool     // a report has not been answered
+	carry  []byte
+	next   alarm
+	missed int // reports that were not answered
 }
 
 func (d *directory) start(a *App) {
@@ -36,9 +36,8 @@
 	d.app.set(&d.next, d.app.now+reportEvery)
 	switch {
 	case d.conn == nil:
-		if !d.dialing {
-			d.dialing = true
-			d.app.dial(d.app.place.Directory, d, func() { d.dialing = false })
+		if d.link == nil {
+			d.link = d.app.dial(d.app.place.Directory, d, func() { d.link = nil })
 		}
 	case d.owed:
 		d.missed++
@@ -57,11 +56,18 @@
 }
 
 func (d *directory) opened(c gnet.Conn) {
-	d.conn, d.dialing, d.owed, d.carry = c, false, false, d.carry[:0]
+	d.conn, d.owed, d.carry = c, false, d.carry[:0]
 	d.report()
 }
 
-func (d *directory) closed() { d.conn, d.owed = nil, false }
+func (d *directory) closed() { d.conn, d.link, d.owed = nil, nil, false }
+
+// move: the directory is at another address now, and hears from there at once.
+func (d *directory) move() {
+	d.link.drop()
+	d.closed()
+	d.report()
+}
 
 var errAnswer = errors.New("an answer from the directory that is none")
 
--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -1,11 +1,12 @@
-// This file owns the calls to the index: one connection that carries them all, opened when it is needed and
-// closed before the other side does so. It must never make a call that the module did not ask for, call again
-// by itself, or take a call for proven unseen that may have been seen.
+// This file owns the calls to the index and the connections that carry them, one call at a time on each, so that
+// what spoils a connection spoils one call. It must never make a call that the module did not ask for, call again
+// by itself, use a connection on which a call went wrong, or take a call for proven unseen that may have been seen.
 package appserver
 
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -14,16 +15,20 @@
 )
 
 const (
-	idleIndex = 8 * second // the other side closes after ten
-	mostReply = 256 << 10
+	restMost  = second / 4 // a connection at rest is closed after this: the longer, the likelier it was forgotten
+	lanesPart = 12         // and of the descriptors one in so many may carry calls
+	mostReply = 64 << 10
 )
 
 type index struct {
-	wire
-	dialing bool
-	calls   map[*call]struct{} // waiting for the connection, or sent
-	carry   []byte
-	idle    alarm
+	app     *App
+	lanes   int     // connections, dials under way included
+	most    int     // of them
+	out     int     // calls in hand
+	resting []*lane // that carry nothing, the longest at rest first
+	queue   []*call // that wait for a connection
+	rest    alarm
+	settled int // of address: those of an earlier one carry no new call
 }
 
 // call is one call in the hands of the index, or on its way there.
@@ -32,75 +37,86 @@
 	made  admission.Tenths
 	until admission.Tenths
 	limit alarm
-	sent  bool
+	lane  *lane // that carries it, nil while it waits for one
+}
+
+// lane is one connection.
+type lane struct {
+	wire
+	index *index
+	via   *dialled
+	call  *call  // the one on it
+	last  string // the work item of the call before
+	carry []byte
+	since admission.Tenths // at rest
+	of    int              // the address
 }
 
 func (x *index) start(a *App) {
-	x.wire, x.calls = wire{app: a, most: mostOnLink}, map[*call]struct{}{}
-	x.idle.ring = func() {
-		if len(x.calls) == 0 {
-			x.shut()
-		}
-	}
+	x.app, x.most = a, max(1, a.place.Sockets/lanesPart)
+	x.rest.ring = x.closeResting
 }
 
 // make makes the call that a run waits for. The index holds no time limit, so it is given up here.
 func (x *index) make(it *item, until admission.Tenths) {
 	must(it.call == nil && it.begun && !it.ended, "a call beside another or without a run")
 	c := &call{it: it, made: x.app.now, until: until}
-	c.limit.ring = func() { x.late(c) }
+	c.limit.ring = func() { x.end(c, x.leave(c)) }
 	it.call = c
-	x.calls[c] = struct{}{}
+	x.out++
 	x.app.set(&c.limit, max(until, x.app.now+1))
-	x.app.unset(&x.idle)
-	switch {
-	case x.conn != nil:
-		x.send(c)
-	case !x.dialing:
-		x.dialing = true
-		x.app.dial(x.app.place.Index, x, func() {
-			x.dialing = false
-			x.lost()
-		})
-	}
+	x.place(c)
 }
 
-func (x *index) send(c *call) {
-	c.sent = true
-	out := append(append(x.buffer(), "GET "...), c.it.id...)
-	out = strconv.AppendInt(append(out, ' '), int64(max(1, (c.until-x.app.now)/10)), 10)
-	out = strconv.AppendInt(append(out, ' '), int64(len(c.it.asks)), 10)
-	out = append(append(out, "\r\n"...), c.it.asks...)
-	x.out = append(out, "\r\n"...)
-}
-
-// late: the time that the module gave is over. A call that never left is no call.
-func (x *index) late(c *call) {
-	x.cancel(c)
-	x.endBroken(c)
+// place finds the call a connection: the one that last carried a call, as it is the likeliest to be alive, but not
+// one on which a second copy of an earlier reply to the same run could come.
+func (x *index) place(c *call) {
+	for i := len(x.resting) - 1; i >= 0; i-- {
+		if l := x.resting[i]; l.last != c.it.id {
+			x.resting = slices.Delete(x.resting, i, i+1)
+			l.send(c)
+			return
+		}
+	}
+	if x.lanes >= x.most {
+		x.queue = append(x.queue, c)
+		return
+	}
+	l := &lane{wire: wire{app: x.app, most: mostOnLink}, index: x, call: c, of: x.settled}
+	c.lane = l
+	x.lanes++
+	l.via = x.app.dial(x.app.place.Index, l, func() { l.gone(admission.Unseen) })
 }
 
-func (x *index) cancel(c *call) {
-	if c.sent && x.conn != nil {
-		x.out = append(append(append(x.buffer(), "STOP "...), c.it.id...), "\r\n"...)
+// leave takes the call off its connection and tells what that leaves known of it. A connection that carries a
+// call is closed: that gives the call up, and whatever would still come on it.
+func (x *index) leave(c *call) (how admission.Outcome) {
+	l := c.lane
+	switch {
+	case l == nil:
+		x.queue = slices.DeleteFunc(x.queue, func(q *call) bool { return q == c })
+		return admission.Unseen
+	case l.conn == nil: // the dial goes on for whom it may serve
+		l.call, c.lane = nil, nil
+		return admission.Unseen
 	}
+	l.call, c.lane = nil, nil
+	l.close()
+	return admission.Unknown
 }
 
 // giveUp forgets the call of a run that is over.
 func (x *index) giveUp(it *item) {
 	if c := it.call; c != nil {
-		x.cancel(c)
+		x.leave(c)
 		x.forget(c)
 	}
 }
 
 func (x *index) forget(c *call) {
 	c.it.call = nil
-	delete(x.calls, c)
+	x.out--
 	x.app.unset(&c.limit)
-	if len(x.calls) == 0 {
-		x.app.set(&x.idle, x.app.now+idleIndex)
-	}
 }
 
 func (x *index) end(c *call, how admission.Outcome) {
@@ -108,46 +124,95 @@
 	c.it.handle.CallEnded(how, x.app.now-c.made)
 }
 
-// lost ends what was out: what was never sent provably never ran, of the rest nothing is known.
-func (x *index) lost() {
-	for c := range x.calls {
-		x.endBroken(c)
+// move: the index is at another address now. What is out may end where it is; all else goes there.
+func (x *index) move() {
+	x.settled++
+	for _, l := range slices.Clone(x.resting) {
+		l.close()
 	}
 }
 
-func (x *index) endBroken(c *call) {
-	if c.sent {
-		x.end(c, admission.Unknown)
+func (x *index) closeResting() {
+	for len(x.resting) > 0 {
+		if due := x.resting[0].since + restMost; due > x.app.now {
+			x.app.set(&x.rest, due)
+			return
+		}
+		x.resting[0].close()
+	}
+}
+
+func (l *lane) opened(c gnet.Conn) {
+	if l.conn = c; l.call != nil {
+		l.send(l.call)
 	} else {
-		x.end(c, admission.Unseen)
+		l.free()
 	}
 }
 
-func (x *index) opened(c gnet.Conn) {
-	x.conn, x.dialing, x.carry = c, false, x.carry[:0]
-	for c := range x.calls {
-		x.send(c)
+func (l *lane) send(c *call) {
+	l.call, c.lane, l.last = c, l, c.it.id
+	out := append(append(l.buffer(), "GET "...), c.it.id...)
+	out = strconv.AppendInt(append(out, ' '), int64(max(1, (c.until-l.app.now)/10)), 10)
+	out = strconv.AppendInt(append(out, ' '), int64(len(c.it.asks)), 10)
+	out = append(append(out, "\r\n"...), c.it.asks...)
+	l.out = append(out, "\r\n"...)
+}
+
+// free has it carry the next call, or rest.
+func (l *lane) free() {
+	x := l.index
+	if l.of != x.settled {
+		l.close()
+		return
 	}
-	if len(x.calls) == 0 {
-		x.app.set(&x.idle, x.app.now+idleIndex)
+	for i, c := range x.queue {
+		if c.it.id != l.last {
+			x.queue = slices.Delete(x.queue, i, i+1)
+			l.send(c)
+			return
+		}
 	}
+	l.since = x.app.now
+	x.resting = append(x.resting, l)
+	if x.rest.place == 0 {
+		x.app.set(&x.rest, l.since+restMost)
+	}
+}
+
+func (l *lane) close() {
+	l.via.drop()
+	l.gone(admission.Unknown)
 }
 
-func (x *index) closed() {
-	x.conn = nil
-	x.app.unset(&x.idle)
-	x.lost()
+func (l *lane) closed() { l.gone(admission.Unknown) }
+
+// gone: the connection is no more, or never came to be. Of the call on it that much is known.
+func (l *lane) gone(how admission.Outcome) {
+	x := l.index
+	l.conn = nil
+	x.lanes--
+	x.resting = slices.DeleteFunc(x.resting, func(r *lane) bool { return r == l })
+	if c := l.call; c != nil {
+		l.call, c.lane = nil, nil
+		x.end(c, how)
+	}
+	if len(x.queue) > 0 && x.lanes < x.most {
+		c := x.queue[0]
+		x.queue = x.queue[1:]
+		x.place(c)
+	}
 }
 
 var errReply = errors.New("a reply from the index that is none")
 
-func (x *index) traffic(data []byte) error {
-	if len(x.carry) > 0 {
-		x.carry = append(x.carry, data...)
-		data = x.carry
+func (l *lane) traffic(data []byte) error {
+	if len(l.carry) > 0 {
+		l.carry = append(l.carry, data...)
+		data = l.carry
 	}
-	for len(data) > 0 {
-		n, err := x.reply(data)
+	for len(data) > 0 && l.call != nil {
+		n, err := l.reply(data)
 		if err != nil {
 			return err
 		}
@@ -156,15 +221,22 @@
 		}
 		data = data[n:]
 	}
-	if len(data) > mostReply {
+	switch {
+	case len(data) > mostReply:
 		return errReply
+	case l.call != nil:
+		l.carry = append(l.carry[:0], data...)
+		return nil
+	case len(data) > 0: // more than its own: nothing that may come late is left to reach a later call
+		return errDone
 	}
-	x.carry = append(x.carry[:0], data...)
+	l.carry = nil
+	l.free()
 	return nil
 }
 
 // reply takes one reply that is whole and gives its length, 0 where more is to come.
-func (x *index) reply(data []byte) (int, error) {
+func (l *lane) reply(data []byte) (int, error) {
 	end := bytes.Index(data, []byte("\r\n"))
 	if end < 0 {
 		if len(data) > 128 {
@@ -183,7 +255,7 @@
 	var body []byte
 	if end += 2; how == admission.Well {
 		size, err := strconv.ParseUint(string(fields[2]), 10, 18)
-		if err != nil {
+		if err != nil || size > mostReply {
 			return 0, errReply
 		}
 		if len(data) < end+int(size)+2 {
@@ -194,15 +266,16 @@
 			return 0, errReply
 		}
 	}
-	// A reply to a call given up is passed over.
-	if it := x.app.items.byID[string(fields[0])]; it != nil && it.call != nil && it.call.sent {
+	c := l.call
+	if it := c.it; string(fields[0]) == it.id { // another's is passed over
+		l.call, c.lane = nil, nil
 		if how == admission.Well && it.conn != nil {
-			x.app.interpreter.goOn(it, bytes.Clone(body))
+			l.app.interpreter.goOn(it, bytes.Clone(body))
 		}
 		if how != admission.Well || it.conn != nil { // else the run ends at its call: nobody waits for it
-			x.end(it.call, how)
+			l.index.end(c, how)
 		} else {
-			x.forget(it.call)
+			l.index.forget(c)
 		}
 	}
 	return end, nil
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -21,11 +21,14 @@
 	mostLine  = 256 << 10
 	leastWait = admission.Tenths(10) // gauges are waited for so long at least
 	trips     = 4                    // and else so many round trips
+	lostWith  = second / 10          // commands sent so short before a link broke may be lost: twice what is told
 )
 
 type interpreter struct {
 	wire
-	up      bool // commands may go out: the interpreter is up and what it replays has been taken
+	link    *dialled // the one that stands
+	next    *dialled // a dial under way
+	up      bool     // commands may go out: the interpreter is up and what it replays has been taken
 	last    uint64
 	carry   []byte
 	kinds   [][]byte // names of categories as JSON
@@ -54,39 +57,69 @@
 }
 
 func (l *interpreter) dial() {
-	l.app.dial(l.app.place.Interpreter, l, func() { l.app.set(&l.again, l.app.now+l.backOff.next()) })
+	l.app.unset(&l.again)
+	l.next.drop()
+	l.next = l.app.dial(l.app.place.Interpreter, l, func() {
+		l.next = nil
+		l.app.set(&l.again, l.app.now+l.backOff.next())
+	})
 }
 
+// move: the interpreter is at another address now. The old link is used until the new one stands and replaces it.
+func (l *interpreter) move() { l.dial() }
+
 func (l *interpreter) opened(c gnet.Conn) {
+	if l.conn != nil {
+		l.link.drop()
+		l.lost()
+	}
+	l.link, l.next = l.next, nil
 	l.conn, l.carry, l.asked = c, l.carry[:0], 0
 	l.links++
 	l.out = strconv.AppendUint(append(l.buffer(), `{"type":"CONNECT","n":`...), l.last, 10)
 	l.out = append(l.out, "}\n"...)
 }
 
-// closed: runs go on without a link. What was sent for a run and not heard of may or may not have come: a
-// harmless one is asked for again, which does nothing where it runs; any other is left to its time.
 func (l *interpreter) closed() {
+	l.lost()
+	if l.next == nil {
+		l.app.set(&l.again, l.app.now+l.backOff.next())
+	}
+}
+
+// lost: runs go on without a link. The last commands on it may have been lost with it, so they are given again once
+// what is replayed has been taken. That begins no second run: an APPLY does nothing where its request runs, and
+// starts nothing where that is over. One with effects is left to its time where it went out long before.
+func (l *interpreter) lost() {
 	if l.up {
 		log.Printf("event=interpreter_lost after_notice=%d in_hand=%d", l.last, l.app.items.inHand())
 	}
 	l.conn, l.up = nil, false
+	if l.out != nil {
+		l.out = l.out[:0] // nothing meant for this link goes out on the next
+	}
 	for _, it := range l.app.items.byID {
 		if it.sent && !it.heard {
-			it.toRun = l.app.place.Terms.Categories[it.category].Effect == admission.Harmless
+			it.toRun = l.app.place.Terms.Categories[it.category].Effect == admission.Harmless || l.doubtful(it.sentAt)
 			it.doubt = !it.toRun
 		}
+		if it.reply != nil && l.doubtful(it.repliedAt) {
+			it.toGoOn = it.reply
+		}
+		it.toStop = it.toStop || it.stopped
 	}
-	l.app.set(&l.again, l.app.now+l.backOff.next())
 }
 
+func (l *interpreter) doubtful(said admission.Tenths) bool { return l.app.now-said < lostWith }
+
 // ready: from now on commands go out, first those that waited for a link.
 func (l *interpreter) ready() {
 	l.up, l.fence, l.backOff = true, "", backOff{}
 	for _, it := range l.app.items.byID {
 		switch {
+		case it.ended:
 		case it.toRun && it.conn == nil && !it.sent: // nobody waits for it, and it never left
-			it.runEnded(admission.NeverBegun, 0, nil)
+			it.neverBegun()
 		case it.toRun && !it.heard:
 			l.run(it)
 		case it.toGoOn != nil && it.conn != nil:
@@ -110,7 +143,7 @@
 
 func (l *interpreter) run(it *item) {
 	if it.toRun = !l.up; l.up {
-		it.sent = true
+		it.sent, it.sentAt = true, l.app.now
 		out := append(append(l.command("APPLY", it), `,"kind":`...), l.kinds[it.category]...)
 		l.out = withData(out, it.body)
 	}
@@ -118,6 +151,7 @@
 
 func (l *interpreter) stop(it *item) {
 	if it.toStop = !l.up; l.up && !it.ended {
+		it.stopped = true
 		l.out = append(l.command("BREAK", it), "}\n"...)
 	}
 }
@@ -125,6 +159,7 @@
 // goOn passes the reply to a run's call on.
 func (l *interpreter) goOn(it *item, reply []byte) {
 	if it.toGoOn = nil; l.up {
+		it.reply, it.repliedAt = reply, l.app.now
 		l.out = withData(l.command("RESOLVE", it), reply)
 	} else {
 		it.toGoOn = reply
@@ -210,6 +245,9 @@
 		l.last = n.N
 	}
 	it := l.app.items.byID[n.Job]
+	if it != nil && n.N > 0 {
+		it.reply, it.toGoOn = nil, nil // what comes of the run after a reply tells that it was taken
+	}
 	switch n.Type {
 	case "BANNER":
 		l.banner(n.State, deployment.Up(n.Took))
@@ -218,7 +256,11 @@
 		if !known {
 			return errors.New("a run's end that is none")
 		}
-		if it != nil {
+		switch {
+		case it == nil:
+		case how == admission.NeverBegun && !it.heard:
+			it.neverBegun()
+		default:
 			it.heard, it.doubt = true, false
 			it.runEnded(how, deployment.Up(n.Took), n.Data)
 		}
@@ -234,7 +276,7 @@
 			log.Printf("event=interpreter_error command=%s id=%s count=%d", n.State, n.Job, l.errs)
 		}
 		if it != nil && it.begun && n.State == "APPLY" {
-			it.runEnded(admission.NeverBegun, 0, nil)
+			it.neverBegun()
 		}
 	case "TRACE":
 	default:
@@ -250,8 +292,9 @@
 func (l *interpreter) banner(state string, since admission.Tenths) {
 	a := l.app
 	if a.server == nil {
-		a.place.Terms.Cold = state == "COLD"
-		a.server = admission.New(a.place.Terms.Deployment, &a.items, a.now-since)
+		terms := a.place.Terms.Deployment
+		terms.Cold = state == "COLD"
+		a.server = admission.New(terms, &a.items, a.now-since)
 		a.server.At(a.now)
 		log.Printf("event=interpreter_up name=%s state=%s since_ms=%d", a.place.Name, state, since/10)
 		a.tellLeave()
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -4,6 +4,8 @@
 package appserver
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"log"
 	"strconv"
 
@@ -15,6 +17,9 @@
 const (
 	mostBody   = 2 << 10
 	mostResult = 4 << 10
+	mostKey    = 64
+	ahead      = 1000 // ms that a router's clock may be ahead
+	budgets    = 2    // expiries: what waits longer than so many cannot be meant
 )
 
 type items struct {
@@ -32,40 +37,46 @@
 
 // item is one work item, from its reading until the module is through with it.
 type item struct {
-	app      *App
-	handle   *admission.WorkItem
-	door     uint64
-	id       string
-	category int
-	conn     *router // nil once it is answered or its caller is gone
-	stream   *fastcgi.Stream
-	body     []byte
-	taken    admission.Tenths
-	stamp    *stamp // its own, or the one it shares
-	shares   bool
-	begun    bool // the module had it run
-	toRun    bool // the interpreter has yet to be told so
-	sent     bool // it was told, on some link
-	toStop   bool
-	toGoOn   []byte // with this reply
-	heard    bool   // the interpreter has spoken of the run
-	doubt    bool   // a link broke before it did: the run may never have begun
-	ended    bool   // and has told its end
-	asks     []byte // the body of the call that the run waits for
-	call     *call
-	over     bool
+	app       *App
+	handle    *admission.WorkItem
+	door      uint64
+	id        string
+	category  int
+	conn      *router // nil once it is answered or its caller is gone
+	stream    *fastcgi.Stream
+	key       []byte // as it came, good while it is taken
+	body      []byte
+	taken     admission.Tenths
+	stamp     *stamp // its own, or the one it shares
+	shares    bool
+	begun     bool // the module had it run
+	toRun     bool // the interpreter has yet to be told so
+	sent      bool // it was told, on some link
+	sentAt    admission.Tenths
+	toStop    bool
+	stopped   bool   // the interpreter was told to stop it
+	toGoOn    []byte // with this reply
+	reply     []byte // the last one passed on, until the run is heard of again
+	repliedAt admission.Tenths
+	heard     bool   // the interpreter has spoken of the run
+	doubt     bool   // a link broke before it did: the run may never have begun
+	ended     bool   // and has told its end
+	asks      []byte // the body of the call that the run waits for
+	call      *call  // its call, while that is out
+	over      bool
 }
 
 // stamp is what is known of the tries of one stamped work item.
 type stamp struct {
 	key     string
-	owner   *item            // the try that is held or runs
-	ran     bool             // a try was begun
-	ended   bool             // and is over
-	well    bool             // with this result
-	result  []byte           // as the interpreter gave it
-	until   admission.Tenths // tries that reached the machine before this repeat it
-	fade    alarm            // none that did can still be unread after this
+	body    [sha256.Size]byte // what tells its body from others
+	owner   *item             // the try that is held or runs
+	ran     bool              // a try was begun
+	ended   bool              // and is over
+	well    bool              // with this result
+	result  []byte            // as the interpreter gave it
+	until   admission.Tenths  // tries that reached the machine before this repeat it
+	fade    alarm             // none that did can still be unread after this
 	sharers []*item
 }
 
@@ -87,6 +98,20 @@
 		c.answer(s, "503 Starting", "", nil)
 		return
 	}
+	var key string
+	var before *stamp
+	var print [sha256.Size]byte
+	if status == "" && a.place.Terms.Categories[it.category].Effect == admission.Stamped {
+		key = strconv.Itoa(it.category) + " " + string(it.key) // no result for another category
+		print = sha256.Sum256(s.Body)
+		if before = t.stamps[key]; before != nil && before.owner == nil && reached >= before.until {
+			t.drop(before)
+			before = nil
+		}
+		if before != nil && before.body != print {
+			status = "422 Once-Key with another body" // neither shares the result nor takes the place of the true one
+		}
+	}
 	if status != "" {
 		if often(&t.refused) {
 			log.Printf("event=unusable_request status=%q count=%d", status, t.refused)
@@ -95,7 +120,7 @@
 		return
 	}
 	it.app, it.conn, it.stream, it.taken = a, c, s, a.now
-	it.body, s.Body, s.Mark = s.Body, nil, it
+	it.body, s.Body, s.Mark, it.key = s.Body, nil, it, nil
 	t.byID[it.id] = it
 	if n := len(t.spare); n > 0 {
 		it.door, t.spare = t.spare[n-1], t.spare[:n-1]
@@ -105,18 +130,10 @@
 		t.slots = append(t.slots, it)
 	}
 	arrival.Door = it.door
-	var key string
-	if a.place.Terms.Categories[it.category].Effect == admission.Stamped {
-		key = strconv.Itoa(it.category) + " " + string(s.Field("HTTP_ONCE_KEY")) // no result for another category
-		if before := t.stamps[key]; before != nil {
-			if before.owner != nil || reached < before.until {
-				arrival.Repeats, it.stamp = true, before
-				if before.owner != nil {
-					arrival.Earlier = before.owner.handle
-				}
-			} else {
-				t.drop(before)
-			}
+	if before != nil {
+		arrival.Repeats, it.stamp = true, before
+		if before.owner != nil {
+			arrival.Earlier = before.owner.handle
 		}
 	}
 	it.handle = a.server.Take(arrival)
@@ -125,27 +142,64 @@
 			must(!before.ran, "a stamp that ran is replaced")
 			t.drop(before)
 		}
-		m := &stamp{key: key, owner: it, until: never}
+		m := &stamp{key: key, body: print, owner: it, until: never}
 		m.fade.ring = func() { t.drop(m) }
 		it.stamp, t.stamps[key] = m, m
 	}
 }
 
-// read makes an arrival of the parameters, or gives the status that tells what is wrong with them.
+// What a request says of itself, in the order of these names.
+const (
+	fieldPath = iota
+	fieldMethod
+	fieldLength
+	fieldID
+	fieldReached
+	fieldCaller
+	fieldTenant
+	fieldBudget
+	fieldHeld
+	fieldRank
+	fieldKey
+)
+
+var fieldNames = []string{"SCRIPT_NAME", "REQUEST_METHOD", "CONTENT_LENGTH", "HTTP_REQUEST_ID", "HTTP_RECEIVED_AT",
+	"HTTP_SENT_BY", "HTTP_ACCOUNT", "HTTP_BUDGET_MS", "HTTP_FOOTPRINT_KB", "HTTP_PRIORITY_RANK", "HTTP_ONCE_KEY"}
+
+// number reads a figure that must lie from least up to below end.
+func number(text []byte, least, end float64) (float64, bool) {
+	n, err := strconv.ParseFloat(string(text), 64)
+	return n, err == nil && n >= least && n < end
+}
+
+// read makes an arrival of the parameters, or gives the status that tells what is wrong with them. What the settings
+// name is the measure: nothing that they do not know, or that no router could mean, reaches the module.
 func (t *items) read(s *fastcgi.Stream) (it *item, arrival admission.Arrival, reached admission.Tenths, bad string) {
 	terms := t.app.place.Terms
-	path := string(s.Field("SCRIPT_NAME"))
-	it = &item{id: string(s.Field("HTTP_REQUEST_ID"))}
-	if len(path) < 5 || path[:5] != "/rpc/" {
+	var f [fieldKey + 1][]byte
+	twice := s.Fields(fieldNames, f[:])
+	it = &item{id: string(f[fieldID])}
+	path, isPath := bytes.CutPrefix(f[fieldPath], []byte("/rpc/"))
+	if !isPath {
 		return it, arrival, 0, "404 Unknown path"
 	}
-	category, known := terms.Named[path[5:]]
+	category, known := terms.Named[string(path)]
 	if !known {
 		return it, arrival, 0, "404 Unknown category"
 	}
+	if string(f[fieldMethod]) != "POST" {
+		return it, arrival, 0, "405 Method"
+	}
 	if s.TooLong || len(s.Body) > mostBody {
 		return it, arrival, 0, "413 Body too long"
 	}
+	if length := f[fieldLength]; len(length) > 0 && string(length) != strconv.Itoa(len(s.Body)) {
+		return it, arrival, 0, "400 Content-Length"
+	}
+	if twice {
+		return it, arrival, 0, "400 A field came twice"
+	}
+	of := &terms.Categories[category]
 	it.category, arrival.Category = category, category
 	if _, err := strconv.ParseUint(it.id, 16, 64); err != nil || len(it.id) != 16 {
 		return it, arrival, 0, "400 Request-Id is not 16 hex digits"
@@ -153,25 +207,32 @@
 	if t.byID[it.id] != nil {
 		return it, arrival, 0, "400 Request-Id is in hand already"
 	}
-	stampedAt, err := strconv.ParseInt(string(s.Field("HTTP_RECEIVED_AT")), 10, 64)
-	if err != nil || stampedAt < 0 || stampedAt > 1<<50 {
+	stampedAt, err := strconv.ParseInt(string(f[fieldReached]), 10, 64)
+	if now := int64(t.app.now / 10); err != nil || stampedAt < 0 || stampedAt > now+ahead {
 		return it, arrival, 0, "400 Received-At"
 	}
-	budget, err := strconv.ParseFloat(string(s.Field("HTTP_BUDGET_MS")), 64)
-	if err != nil || !(budget >= 0 && budget < 1e9) {
+	budget, ok := number(f[fieldBudget], 0, float64(of.Expiry)/10*budgets)
+	if !ok {
 		return it, arrival, 0, "400 Budget-Ms"
 	}
-	caller, err := strconv.ParseUint(string(s.Field("HTTP_SENT_BY")), 10, 20)
+	caller, err := strconv.ParseUint(string(f[fieldCaller]), 10, 20)
 	if err != nil {
 		return it, arrival, 0, "400 Sent-By"
 	}
-	held, err := strconv.ParseFloat(string(s.Field("HTTP_FOOTPRINT_KB")), 64)
-	if err != nil || !(held > 0 && held < 2000) {
+	held, ok := number(f[fieldHeld], 0, 2000)
+	if !ok || held == 0 {
 		return it, arrival, 0, "400 Footprint-Kb"
 	}
-	if terms.Categories[category].Effect == admission.Stamped && len(s.Field("HTTP_ONCE_KEY")) == 0 {
+	if _, ok = number(f[fieldRank], 0, 1); !ok {
+		return it, arrival, 0, "400 Priority-Rank"
+	}
+	if !terms.Tenant(f[fieldTenant]) {
+		return it, arrival, 0, "400 Account"
+	}
+	if n := len(f[fieldKey]); of.Effect == admission.Stamped && n == 0 || n > mostKey {
 		return it, arrival, 0, "400 Once-Key"
 	}
+	it.key = f[fieldKey]
 	reached = admission.Tenths(stampedAt * 10)
 	arrival.Caller, arrival.HeldKb = int(caller), held
 	arrival.Unread = max(0, t.app.now-reached)
@@ -200,7 +261,7 @@
 func (t *items) settle() {
 	for _, it := range t.lapsed {
 		if !it.over && !it.heard {
-			it.runEnded(admission.NeverBegun, 0, nil)
+			it.runEnded(admission.Cut, 0, nil)
 		}
 	}
 	t.lapsed = t.lapsed[:0]
@@ -245,6 +306,14 @@
 	it.handle.Gone()
 }
 
+// neverBegun: it is proven that nothing of it ran, so its stamp is free for another try.
+func (it *item) neverBegun() {
+	if m := it.stamp; m != nil && m.owner == it && !it.ended {
+		m.ran = false
+	}
+	it.runEnded(admission.NeverBegun, 0, nil)
+}
+
 // runEnded: the interpreter tells the end of its run.
 func (it *item) runEnded(how admission.Outcome, took admission.Tenths, result []byte) {
 	if it.ended || !it.begun || it.over {
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -12,6 +12,9 @@
 	"log"
 	"math/bits"
 	"net"
+	"reflect"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -64,7 +67,7 @@
 	interpreter interpreter
 	index       index
 	directory   directory
-	leaving     chan struct{}
+	orders      chan func()      // from outside the loop: to leave, to move
 	stop        admission.Tenths // when all must be answered, never before the notice to leave
 	ending      bool
 	late        lags // of the timer
@@ -75,7 +78,7 @@
 
 // New makes an app server; Run starts it.
 func New(p Place) *App {
-	a := &App{place: p, armed: never, stop: never, leaving: make(chan struct{}, 1)}
+	a := &App{place: p, armed: never, stop: never, orders: make(chan func(), 8)}
 	a.routers.start(a)
 	a.items.start(a)
 	a.interpreter.start(a)
@@ -105,12 +108,10 @@
 }
 
 // Leave is the notice to leave. A second one changes nothing.
-func (a *App) Leave() {
-	select {
-	case a.leaving <- struct{}{}:
-	default:
-	}
-}
+func (a *App) Leave() { a.orders <- a.leave }
+
+// Move is a new configuration: the addresses of the other parties change, while what is in hand stays.
+func (a *App) Move(p Place) { a.orders <- func() { a.move(p) } }
 
 // OnBoot knocks at the own door, as only a connection tells which loop there is.
 func (a *App) OnBoot(gnet.Engine) gnet.Action {
@@ -153,7 +154,7 @@
 	}
 	a.event()
 	if err := p.traffic(data); err != nil {
-		if often(&a.bad) {
+		if err != errDone && often(&a.bad) {
 			log.Printf("event=bad_peer peer=%s local=%s reason=%q count=%d", c.RemoteAddr(), c.LocalAddr(), err, a.bad)
 		}
 		return gnet.Close
@@ -161,6 +162,9 @@
 	return gnet.None
 }
 
+// errDone closes a connection that has served its turn: nothing bad came on it.
+var errDone = errors.New("done")
+
 func (a *App) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if p, known := c.Context().(peer); known && !a.ending {
 		a.event()
@@ -174,8 +178,9 @@
 	a.thread, a.now = thread, clock()
 	a.timer = time.AfterFunc(time.Hour, func() { a.do(a.ring) })
 	go func() {
-		<-a.leaving
-		a.do(a.leave)
+		for order := range a.orders {
+			a.do(order)
+		}
 	}()
 	a.interpreter.dial()
 	a.directory.report()
@@ -318,6 +323,9 @@
 
 // leave tells the module how long there is, and ends the program in time.
 func (a *App) leave() {
+	if a.stop < never {
+		return
+	}
 	left := max(0, a.place.StopIn-min(leaveEarly, a.place.StopIn/4))
 	log.Printf("event=leaving name=%s within_ms=%d in_hand=%d", a.place.Name, left/10, a.items.inHand())
 	a.stop = a.now + left
@@ -329,6 +337,32 @@
 	}}, a.stop)
 }
 
+// move takes up the addresses of a new configuration. What a running server can't change is said, and stays.
+func (a *App) move(p Place) {
+	var kept []string
+	for name, differs := range map[string]bool{"name": p.Name != a.place.Name, "listen": p.Listen != a.place.Listen,
+		"stop_ms": p.StopIn != a.place.StopIn, "sockets": p.Sockets != a.place.Sockets,
+		"settings": !reflect.DeepEqual(p.Terms.Deployment, a.place.Terms.Deployment)} {
+		if differs {
+			kept = append(kept, name)
+		}
+	}
+	slices.Sort(kept)
+	log.Printf("event=configuration_read name=%s vm=%s index=%s lookup=%s kept_as_it_was=%q", a.place.Name, p.Interpreter,
+		p.Index, p.Directory, strings.Join(kept, " "))
+	before := a.place
+	a.place.Interpreter, a.place.Index, a.place.Directory = p.Interpreter, p.Index, p.Directory
+	if before.Interpreter != p.Interpreter {
+		a.interpreter.move()
+	}
+	if before.Index != p.Index {
+		a.index.move()
+	}
+	if before.Directory != p.Directory {
+		a.directory.move()
+	}
+}
+
 func (a *App) tellLeave() {
 	if a.server != nil && a.stop < never {
 		a.server.Leave(max(0, a.stop-a.now))
@@ -339,7 +373,7 @@
 func (a *App) tell() {
 	log.Printf("event=state in_hand=%d connections=%d stamps=%d calls=%d gauges_age_ms=%d timer_late_ms=%d links=%d "+
 		"reports_missed=%d bad_peers=%d unread_closed=%d", a.items.inHand(), a.routers.open, len(a.items.stamps),
-		len(a.index.calls), a.interpreter.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread)
+		a.index.out, a.interpreter.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread)
 	a.set(&a.state, a.now+stateEvery)
 }
 
@@ -385,20 +419,68 @@
 	a.ending = true
 }
 
+// dialled is a connection to another party, from its dial on. Once it is dropped nothing of it reaches its peer,
+// neither a dial that was under way to an address that is left nor the end of a link that another has replaced.
+type dialled struct {
+	peer
+	app     *App
+	conn    gnet.Conn
+	failed  func()
+	dropped bool
+}
+
 // dial connects to another party off the loop and gives the connection to p, or calls failed on the loop.
-func (a *App) dial(address string, p peer, failed func()) {
+func (a *App) dial(address string, p peer, failed func()) *dialled {
+	d := &dialled{peer: p, app: a, failed: failed}
 	go func() {
 		c, err := net.DialTimeout("tcp", address, dialWithin)
 		if err == nil {
 			var enrolled <-chan gnet.RegisteredResult
-			if enrolled, err = a.thread.Enroll(gnet.NewContext(context.Background(), p), c); err == nil {
+			if enrolled, err = a.thread.Enroll(gnet.NewContext(context.Background(), d), c); err == nil {
 				err = (<-enrolled).Err // no descriptor was left, say
 			}
 		}
 		if err != nil {
-			a.do(failed)
+			a.do(d.fail)
 		}
 	}()
+	return d
+}
+
+func (d *dialled) fail() {
+	if !d.dropped {
+		d.failed()
+	}
+}
+
+func (d *dialled) opened(c gnet.Conn) {
+	if d.conn = c; d.dropped {
+		_ = d.app.thread.Close(c)
+	} else {
+		d.peer.opened(c)
+	}
+}
+
+func (d *dialled) traffic(data []byte) error {
+	if d.dropped {
+		return nil
+	}
+	return d.peer.traffic(data)
+}
+
+func (d *dialled) closed() {
+	if !d.dropped {
+		d.peer.closed()
+	}
+}
+
+// drop closes it and has nothing more said of it; without a connection it does nothing.
+func (d *dialled) drop() {
+	if d != nil && !d.dropped {
+		if d.dropped = true; d.conn != nil {
+			_ = d.app.thread.Close(d.conn)
+		}
+	}
 }
 
 // backOff is how much later the next dial comes, ever later up to a bound.
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -16,8 +16,9 @@
 // Terms are what one server is told when it starts.
 type Terms struct {
 	admission.Deployment
-	Named map[string]int // categories by name
-	rows  []func(*admission.Gauges) *float64
+	Named   map[string]int // categories by name
+	tenants map[string]bool
+	rows    []func(*admission.Gauges) *float64
 }
 
 // most is more than any figure can mean: thirty years in milliseconds.
@@ -45,6 +46,7 @@
 		}
 		Period  float64
 		Servers int
+		Tenants []struct{ Name string }
 		Rules   struct {
 			Cold, ColdFrom, DrainGrace, TipMultiple float64
 		}
@@ -66,7 +68,7 @@
 	if slices.Min(figures) < 0 || slices.Max(figures) > most {
 		return nil, errors.New("a figure of the settings is out of range")
 	}
-	t := &Terms{Named: map[string]int{}, Deployment: admission.Deployment{
+	t := &Terms{Named: map[string]int{}, tenants: map[string]bool{}, Deployment: admission.Deployment{
 		Callers: info.Callers, Servers: env.Servers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: Up(env.Period),
 		Grace: Down(rules.DrainGrace), Cold: info.Cold,
@@ -83,12 +85,18 @@
 			Contract: Down(c.OnTime), Expiry: Down(c.HardLimit), Window: Up(c.Window),
 			Effect: effects[c.Effect]})
 	}
+	for _, tenant := range env.Tenants {
+		t.tenants[tenant.Name] = true
+	}
 	for _, meter := range info.Meters {
 		t.rows = append(t.rows, meters[meter])
 	}
 	return t, nil
 }
 
+// Tenant says whether there is a tenant of this name; where none are told, any may be.
+func (t *Terms) Tenant(name []byte) bool { return len(t.tenants) == 0 || t.tenants[string(name)] }
+
 var tongues = map[string]admission.Tongue{
 	"min_rank": admission.Rank, "tokens": admission.Allowed, "bias": admission.Odds,
 }
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -81,6 +81,20 @@
 	return value
 }
 
+// Fields puts the values of these parameters into their places, nil where one did not come, and says whether one
+// came twice. They are good until Whole returns.
+func (s *Stream) Fields(names []string, values [][]byte) (twice bool) {
+	_ = pairs(s.fields, func(n, v []byte) {
+		for i, name := range names {
+			if string(n) == name {
+				twice = twice || values[i] != nil
+				values[i] = v
+			}
+		}
+	})
+	return twice
+}
+
 // Parser takes the bytes of one connection.
 type Parser struct {
 	open    []*Stream
