Silent and half-whole connections close in time; a full table makes room

Seen: items failed without a decline while 503 of 512 descriptors were open. At fault: routers.accept turned newcomers away once the table was full, whoever filled it; nothing bounded the wait for a first whole request or for one begun. Ruled out: overload, the index, the interpreter's link (no declines, calls quick, no event=interpreter_lost). With it: buffers of requests that are not whole are bounded in sum (OVERLOADED beyond it), so is output that lies unread; a body is kept at its own size; descriptors for the index are counted apart from routers'.

--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -106,5 +106,6 @@
 	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
 	debug.SetMemoryLimit(int64(math.Round(c.Limits.MemoryMb * heapPart * (1 << 20))))
 	return appserver.Place{Name: c.Name, Listen: c.Listen, Interpreter: c.VM, Index: c.Index, Directory: c.Lookup,
-		StopIn: deployment.Down(c.StopMs), Sockets: c.Limits.Sockets, Terms: terms}, nil
+		StopIn: deployment.Down(c.StopMs), Sockets: c.Limits.Sockets, Memory: int(c.Limits.MemoryMb) << 20,
+		Terms: terms}, nil
 }
--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -522,6 +522,7 @@
 	busy.over()
 }
 
+// Silent connections fill no table: the oldest of them makes room for a newcomer, and none outlives its time.
 func TestAFullTableAndNoDescriptorIsLost(t *testing.T) {
 	r, v := start(t)
 	descriptors := func() int {
@@ -533,20 +534,38 @@
 	first.ask(1, "/health", "", nil)
 	first.answered(1, 200, "")
 	before := descriptors()
-	var all []*router
+	var silent []*router
 	for range 50 {
-		all = append(all, r.router())
+		silent = append(silent, r.router())
 	}
-	all[49].over()
+	v.serves(r.router(), 1, "a newcomer")
 	r.LessOrEqual(descriptors(), 64)
 	v.serves(first, 1, "goes on")
-	for _, c := range all {
-		c.Close()
+	for _, c := range silent {
+		c.over()
 	}
-	r.Eventually(func() bool { return descriptors() <= before }, patience, 5*time.Millisecond)
-	again := r.router()
-	again.ask(1, "/health", "", nil)
-	again.answered(1, 200, "")
+	r.Eventually(func() bool { return descriptors() <= before+1 }, patience, 5*time.Millisecond)
+}
+
+// A request that does not come whole in its time is answered as it is; what else is open on the connection stays, and
+// a connection that brings nothing whole is closed.
+func TestRequestsThatStayHalf(t *testing.T) {
+	r, v := start(t)
+	half, c := r.router(), r.router()
+	id := c.look(1, "whole")
+	v.applied(id, "whole")
+	for _, to := range []*router{half, c} {
+		_, err := to.Write(append(fcgi(1, 7, "\x00\x01\x01\x00\x00\x00\x00\x00"), fcgi(4, 7, "begun")...))
+		r.NoError(err)
+	}
+	half.answered(7, 408, "")
+	half.over()
+	c.answered(7, 408, "")
+	v.value(id, "OK", "w")
+	c.answered(1, 200, "w")
+	_, err := c.Write([]byte{1, 5, 0, 7}) // half a record of nothing that is open
+	r.NoError(err)
+	c.over()
 }
 
 func TestARouterThatDoesNotReadIsClosed(t *testing.T) {
--- a/internal/appserver/buffers.go
+++ b/internal/appserver/buffers.go
@@ -8,12 +8,21 @@
 	bufferSize = 8 << 10
 	mostSpare  = 256       // buffers kept for later
 	mostUnread = 192 << 10 // output that a router may leave unread: more than all its open requests can be owed
+	memoryPart = 16        // one part in so many of the memory goes to buffers, and as much to unread output in sum
 	mostOnLink = 4 << 20   // and one of the few other parties, which are given all that goes on while they stand still
 )
 
-type buffers struct{ spare [][]byte }
+type buffers struct {
+	spare [][]byte
+	out   int
+	most  int // in use before no further request is begun
+}
+
+// bound has the buffers take no more than a small part of the memory.
+func (b *buffers) bound(memory int) { b.most = max(mostSpare, memory/memoryPart/bufferSize) }
 
 func (b *buffers) take() []byte {
+	b.out++
 	if n := len(b.spare); n > 0 {
 		buffer := b.spare[n-1]
 		b.spare = b.spare[:n-1]
@@ -23,6 +32,7 @@
 }
 
 func (b *buffers) give(buffer []byte) {
+	b.out--
 	if cap(buffer) == bufferSize && len(b.spare) < mostSpare {
 		b.spare = append(b.spare, buffer[:0])
 	}
@@ -50,9 +60,8 @@
 	out := w.out
 	w.out = nil
 	if w.conn != nil && len(out) > 0 {
-		if _, err := w.conn.Write(out); err == nil && w.conn != nil && w.conn.OutboundBuffered() > w.most {
-			w.app.unread++
-			w.shut()
+		if _, err := w.conn.Write(out); err == nil && w.conn != nil {
+			w.app.lying(w)
 		}
 	}
 	w.app.pool.give(out)
@@ -67,3 +76,30 @@
 		_ = w.app.thread.Close(c)
 	}
 }
+
+// lying closes a connection on which too much lies unread, and where too much does in sum the one with the most.
+func (a *App) lying(w *wire) {
+	lies := w.conn.OutboundBuffered()
+	if lies == 0 {
+		delete(a.unreadOn, w)
+		return
+	}
+	a.unreadOn[w] = struct{}{}
+	sum, most, worst := 0, -1, w
+	for o := range a.unreadOn {
+		if o.conn == nil {
+			delete(a.unreadOn, o)
+		} else if n := o.conn.OutboundBuffered(); o.most == mostUnread {
+			if sum += n; n > most {
+				most, worst = n, o
+			}
+		}
+	}
+	if lies > w.most {
+		worst = w
+	} else if sum <= a.pool.most*bufferSize {
+		return
+	}
+	a.unread++
+	worst.shut()
+}
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -120,7 +120,11 @@
 		return
 	}
 	it.app, it.conn, it.stream, it.taken = a, c, s, a.now
-	it.body, s.Body, s.Mark, it.key = s.Body, nil, it, nil
+	it.body, s.Mark, it.key = bytes.Clone(s.Body), it, nil // a buffer is much larger
+	if s.Body != nil {
+		c.Free(s.Body)
+		s.Body = nil
+	}
 	t.byID[it.id] = it
 	if n := len(t.spare); n > 0 {
 		it.door, t.spare = t.spare[n-1], t.spare[:n-1]
@@ -413,7 +417,6 @@
 	t.slots[it.door] = nil
 	t.spare = append(t.spare, it.door)
 	delete(t.byID, it.id)
-	t.app.pool.give(it.body)
 	it.body = nil
 }
 
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -29,12 +29,13 @@
 	Name, Listen, Interpreter, Index, Directory string
 	StopIn                                      admission.Tenths // from the notice to leave to the stop
 	Sockets                                     int              // descriptors it may hold
+	Memory                                      int              // bytes
 	Terms                                       *deployment.Terms
 }
 
 const (
 	second      = admission.Tenths(10_000)
-	keptBack    = 32              // descriptors for the loop, the listener and outgoing links, dials under way included
+	keptBack    = 32              // descriptors for the loop, the listener and links other than the index's
 	dialWithin  = 1 * time.Second // a dial that takes longer has failed
 	redialAfter = second / 10     // and the next is made so much later, ever later up to the next figure
 	redialMost  = second
@@ -51,11 +52,12 @@
 	place  Place
 	thread gnet.EventLoop
 
-	server *admission.Server // nil until the interpreter is up
-	now    admission.Tenths
-	queued bool    // a flush is on its way
-	dirty  []*wire // what has output for the end of the batch
-	pool   buffers
+	server   *admission.Server // nil until the interpreter is up
+	now      admission.Tenths
+	queued   bool               // a flush is on its way
+	dirty    []*wire            // what has output for the end of the batch
+	unreadOn map[*wire]struct{} // what the other side has not read all of
+	pool     buffers
 
 	alarms alarms
 	timer  *time.Timer
@@ -78,11 +80,12 @@
 
 // New makes an app server; Run starts it.
 func New(p Place) *App {
-	a := &App{place: p, armed: never, stop: never, orders: make(chan func(), 8)}
+	a := &App{place: p, armed: never, stop: never, orders: make(chan func(), 8), unreadOn: map[*wire]struct{}{}}
+	a.pool.bound(p.Memory)
+	a.index.start(a)
 	a.routers.start(a)
 	a.items.start(a)
 	a.interpreter.start(a)
-	a.index.start(a)
 	a.directory.start(a)
 	return a
 }
@@ -372,8 +375,9 @@
 // tell logs how it stands, now and then.
 func (a *App) tell() {
 	log.Printf("event=state in_hand=%d connections=%d stamps=%d calls=%d gauges_age_ms=%d timer_late_ms=%d links=%d "+
-		"reports_missed=%d bad_peers=%d unread_closed=%d", a.items.inHand(), a.routers.open, len(a.items.stamps),
-		a.index.out, a.interpreter.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread)
+		"reports_missed=%d bad_peers=%d unread_closed=%d evicted=%d", a.items.inHand(), a.routers.open, len(a.items.stamps),
+		a.index.out, a.interpreter.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread,
+		a.routers.evicted)
 	a.set(&a.state, a.now+stateEvery)
 }
 
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -1,5 +1,6 @@
-// This file owns the connections that routers open: what is open on them, health checks, and their closing when
-// idle. It must never close one under an open request, nor act on what a work item is about.
+// This file owns the connections that routers open, and others with them: what is open on them, health checks, the
+// time that a request may take to come whole, their closing when idle, and whose place goes where there are too
+// many. It must never close one under a whole request, nor act on what a work item is about.
 package appserver
 
 import (
@@ -13,21 +14,31 @@
 	"thistlequay/internal/fastcgi"
 )
 
+const (
+	firstWithin = 2 * second  // a connection that brings no whole request so long is closed
+	wholeWithin = 1 * second  // and a request not whole after one to two of these is answered as it is
+	newcomer    = second / 10 // what came later may have its first request on the way
+	freshPart   = 4           // unless those without one take up more than one place in so many
+)
+
 type routers struct {
 	app     *App
 	open    int
 	most    int
-	idle    *list.List // of *router, the longest idle first
+	fresh   *list.List // of *router that brought no whole request yet, the oldest first
+	idle    *list.List // of *router that did and carry nothing, the longest idle first
 	idleFor admission.Tenths
 	closing alarm
 	full    int // connections turned away
+	evicted int // closed to make room
+	slow    int // closed or answered as no whole request came
 	good    bool
 	hint    string // the header of the free value, empty until it is said
 }
 
 func (r *routers) start(a *App) {
-	r.app, r.idle, r.idleFor, r.good = a, list.New(), never, true
-	r.most = max(1, a.place.Sockets-keptBack)
+	r.app, r.fresh, r.idle, r.idleFor, r.good = a, list.New(), list.New(), never, true
+	r.most = max(1, a.place.Sockets-keptBack-a.index.most)
 	r.closing.ring = r.closeIdle
 }
 
@@ -35,37 +46,94 @@
 type router struct {
 	wire
 	parser fastcgi.Parser
-	spot   *list.Element // in the list of idle ones
+	asked  bool          // a whole request came on it
+	spot   *list.Element // in the list of fresh or of idle ones
 	since  admission.Tenths
+	limit  alarm
+	stuck  bool // it was so at the limit before, and no request has come whole since
 }
 
+// accept makes room for a newcomer where the table is full: silent connections and such as asked once and stay must
+// not keep routers out.
 func (r *routers) accept() peer {
-	if r.open >= r.most {
-		if often(&r.full) {
-			log.Printf("event=table_full connections=%d turned_away=%d", r.open, r.full)
+	for r.open >= r.most {
+		c := r.leastClaim()
+		if c == nil {
+			if often(&r.full) {
+				log.Printf("event=table_full connections=%d turned_away=%d", r.open, r.full)
+			}
+			return nil
+		}
+		if often(&r.evicted) {
+			log.Printf("event=made_room connections=%d closed=%d", r.open, r.evicted)
 		}
-		return nil
+		c.shut()
 	}
 	return &router{wire: wire{app: r.app, most: mostUnread}}
 }
 
+// leastClaim gives the connection whose place goes to a newcomer: one that never brought a whole request, unless that
+// may be on its way, else the longest idle; none where all carry something.
+func (r *routers) leastClaim() *router {
+	first, idle := r.fresh.Front(), r.idle.Front()
+	switch {
+	case first != nil && (idle == nil || r.fresh.Len() > r.most/freshPart ||
+		r.app.now-first.Value.(*router).since > newcomer):
+		return first.Value.(*router)
+	case idle != nil:
+		return idle.Value.(*router)
+	}
+	return nil
+}
+
 func (c *router) opened(conn gnet.Conn) {
-	c.conn = conn
-	c.app.routers.open++
-	c.rest()
+	r := &c.app.routers
+	c.conn, c.since = conn, c.app.now
+	r.open++
+	c.spot = r.fresh.PushBack(c)
+	c.limit.ring = c.overdue
+	c.app.set(&c.limit, c.since+firstWithin)
 }
 
 func (c *router) traffic(data []byte) error {
-	c.stir()
+	if c.asked {
+		c.stir()
+	}
 	err := c.parser.Feed(data, c)
-	if err == nil {
-		c.rest()
+	if err != nil {
+		return err
+	}
+	if c.rest(); c.asked && c.limit.place == 0 && c.parser.Partial() {
+		c.app.set(&c.limit, c.app.now+wholeWithin)
+	}
+	return nil
+}
+
+// overdue: what was begun must be whole in its time, or it keeps its place and buffers for ever; a little at a time
+// is no help. Such a request is answered, and a connection closed that has nothing else open and brings none whole.
+func (c *router) overdue() {
+	for _, s := range c.parser.Halves() {
+		if s.Late || !c.asked {
+			c.answer(s, "408 Not whole in time", "", nil)
+		}
+		s.Late = true
+	}
+	switch partial := c.parser.Partial(); {
+	case c.parser.Open() == 0 && (!c.asked || partial && c.stuck):
+		if often(&c.app.routers.slow) {
+			log.Printf("event=not_whole_in_time count=%d", c.app.routers.slow)
+		}
+		c.buffer()
+		c.after = true
+	case partial:
+		c.stuck = true
+		c.app.set(&c.limit, c.app.now+wholeWithin)
 	}
-	return err
 }
 
 func (c *router) closed() {
 	c.stir()
+	c.app.unset(&c.limit)
 	c.conn = nil
 	c.app.routers.open--
 	c.parser.Lost(c, func(s *fastcgi.Stream) {
@@ -77,15 +145,20 @@
 
 // stir and rest take it off the idle ones and put it there if nothing is open on it.
 func (c *router) stir() {
-	if c.spot != nil {
+	if c.spot == nil {
+		return
+	}
+	if c.asked {
 		c.app.routers.idle.Remove(c.spot)
-		c.spot = nil
+	} else {
+		c.app.routers.fresh.Remove(c.spot)
 	}
+	c.spot = nil
 }
 
 func (c *router) rest() {
 	r := &c.app.routers
-	if c.conn == nil || c.spot != nil || !c.parser.Clean() {
+	if c.conn == nil || !c.asked || c.spot != nil || !c.parser.Clean() {
 		return
 	}
 	c.since = c.app.now
@@ -121,7 +194,14 @@
 func (c *router) Free(b []byte)        { c.app.pool.give(b) }
 func (c *router) Reply(records []byte) { c.out = append(c.buffer(), records...) }
 
+func (c *router) Room() bool { return c.app.pool.out < c.app.pool.most }
+
 func (c *router) Whole(s *fastcgi.Stream) {
+	if c.stuck = false; !c.asked {
+		c.stir()
+		c.asked = true
+		c.app.unset(&c.limit)
+	}
 	if string(s.Field("SCRIPT_NAME")) == "/health" {
 		status := "200 OK"
 		if !c.app.routers.good {
--- a/internal/appserver/sequence_test.go
+++ b/internal/appserver/sequence_test.go
@@ -70,7 +70,7 @@
 		for _, c := range conns {
 			c.out = nil
 		}
-		a.dirty = nil
+		a.dirty, a.pool.out = nil, 0 // what would have gone out
 	}
 	pass := func(span admission.Tenths) {
 		a.now += span
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"slices"
 )
 
 const (
@@ -32,6 +33,7 @@
 // Ends of a request, as END_REQUEST tells them.
 const (
 	Complete    = 0
+	Overloaded  = 2
 	UnknownRole = 3
 )
 
@@ -50,6 +52,7 @@
 	Whole(*Stream)   // a request has come whole
 	Aborted(*Stream) // its sender stopped waiting for it; it stays open until End
 	Reply([]byte)    // records that are owed at once
+	Room() bool      // whether there is room for another request's buffers
 	Buffer() []byte  // an empty buffer of the one size
 	Free([]byte)     // and its return
 }
@@ -61,6 +64,7 @@
 	TooLong bool   // the body went past the buffer; what is kept of it is cut
 	Body    []byte // in a buffer of the peer's; whoever takes it sets nil here
 	Mark    any    // the peer's own
+	Late    bool   // the peer's own too
 	fields  []byte // name-value pairs
 	state   int
 }
@@ -114,6 +118,21 @@
 // Clean says that the last byte fed ended a record and no request is open.
 func (p *Parser) Clean() bool { return p.got == 0 && len(p.open) == 0 }
 
+// Partial says that a record or a request has begun and is not whole.
+func (p *Parser) Partial() bool {
+	return p.got > 0 || slices.ContainsFunc(p.open, func(s *Stream) bool { return s.state != whole })
+}
+
+// Halves gives the open requests that are not whole.
+func (p *Parser) Halves() (halves []*Stream) {
+	for _, s := range p.open {
+		if s.state != whole {
+			halves = append(halves, s)
+		}
+	}
+	return halves
+}
+
 // End takes an answered request off the open ones. A buffer still with it goes back to the peer.
 func (p *Parser) End(s *Stream, peer Peer) {
 	for i, o := range p.open {
@@ -264,6 +283,9 @@
 			return nil
 		case len(p.open) >= MostOpen:
 			return ErrTooMany
+		case !peer.Room(): // what else comes of it is passed over
+			peer.Reply(AppendEnd(nil, p.id(), Overloaded))
+			return nil
 		}
 		p.open = append(p.open, &Stream{ID: p.id(), Keep: p.small[2]&keepConn != 0})
 	case abortRequest:
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -13,8 +13,10 @@
 	heard   []string
 	parser  Parser
 	answers bool
+	full    bool
 }
 
+func (e *ear) Room() bool { return !e.full }
 func (e *ear) Whole(s *Stream) {
 	e.heard = append(e.heard, fmt.Sprintf("whole %d keep=%v long=%v path=%s body=%d:%x", s.ID, s.Keep, s.TooLong,
 		s.Field("SCRIPT_NAME"), len(s.Body), s.Body[:min(4, len(s.Body))]))
@@ -55,6 +57,17 @@
 	return e.heard, nil
 }
 
+// What is begun where there is no room is turned away with the protocol's own word, and the rest of it passed over.
+func TestNoRoomForAnotherRequest(t *testing.T) {
+	e := &ear{full: true}
+	require.NoError(t, e.parser.Feed(request(1, "abcd"), e))
+	require.Equal(t, []string{fmt.Sprintf("reply %x", AppendEnd(nil, 1, Overloaded))}, e.heard)
+	e.full = false
+	require.NoError(t, e.parser.Feed(request(1, "abcd")[:30], e))
+	require.Len(t, e.parser.Halves(), 1)
+	require.True(t, e.parser.Partial())
+}
+
 func TestAnySplitAndInterleaving(t *testing.T) {
 	one, two := request(1, "abcd"), request(2, string(bytes.Repeat([]byte("x"), 300)))
 	mixed := append(append(bytes.Clone(one[:16]), two[:16]...), append(one[16:], two[16:]...)...)
