Stamps are bounded by the program's own memory; a broken link is dialled again at once

At fault: EntryKb, the simulator's memory of a stamp, was booked against the interpreter's memory, where on sockets stamps lie in the program's own. The host now says 0 for it and how many entries its own memory allows (a quarter of memory_mb, at a result's largest size); the module bounds by that.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,7 +1,7 @@
 package admission
 
-// How other code calls this: New makes a Server. For each batch the host calls At, Take for each work item read
-// (which gives its handle), AtCall, CallEnded, RunEnded, Gone on handles, Leave and Woken, and last Decide.
+// How other code calls this: New makes a Server. For each batch the host calls At, Take for each work item
+// read (which gives its handle), AtCall, CallEnded, RunEnded, Gone on handles, Leave, Woken, and last Decide.
 
 import (
 	"cmp"
@@ -150,6 +150,7 @@
 
 	memory, memoryMost, entryKb, runFactor float64
 	crowdMost, coldFrom                    float64
+	entries, entriesMost                   int // in the table of stamps
 	warmAt, coldFor                        Tenths
 	stops, leaving                         bool
 	margin                                 Tenths // that answers are given ahead of their time
@@ -161,7 +162,7 @@
 func New(d Deployment, host Host, now Tenths) *Server {
 	s := &Server{host: host, now: now, memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor,
 		crowdMost: d.Crowd, coldFrom: 1, stops: d.Stops, margin: 2*d.Period + 1,
-		stop: forever, graceEnd: d.Grace - 2*d.Period, wakes: forever}
+		stop: forever, graceEnd: d.Grace - 2*d.Period, wakes: forever, entriesMost: cmp.Or(d.Entries, forever)}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, d.ColdFor, now+d.ColdFor
 	}
@@ -343,8 +344,7 @@
 		if w.place >= 0 {
 			continue
 		}
-		// The test on joining the hold, for those that could not start at once. The wait of the queue that would
-		// run before is that of its oldest.
+		// The test on joining the hold, for those that could not start at once. A queue waits as its oldest does.
 		budget, queued, value := w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt), s.now-w.arrived, w.value()
 		ahead := func(h *WorkItem) bool { return h.place >= 0 && h.value() >= value }
 		if i := slices.IndexFunc(s.hold, ahead); i >= 0 {
@@ -397,13 +397,13 @@
 		s.decline(w, forever, false)
 	case s.now+w.category.quiet.at(0.1) >= w.worthUntil(): // too late anywhere
 		s.decline(w, 0, true)
-	case s.tight(), stamped && s.memory+s.entryKb > s.memoryMost*workPart:
+	case s.tight(), stamped && (s.memory+s.entryKb > s.memoryMost*workPart || s.entries >= s.entriesMost):
 		// No room to hold it, or to remember that it ran.
 		s.decline(w, s.look, false)
 	case stamped:
 		// Until the window from the arrival of this try has passed: repeats are matched by their arrival.
 		w.stamped = max(s.now+1, w.arrived+w.category.window+s.margin)
-		s.memory += s.entryKb
+		s.memory, s.entries = s.memory+s.entryKb, s.entries+1
 		s.host.Remember(w, w.stamped-s.now)
 	}
 }
@@ -442,7 +442,7 @@
 	for len(s.moments) > 0 && s.moments[0].moment <= s.now {
 		switch w := heap.Pop(&s.moments).(*WorkItem); {
 		case w.state == over:
-			s.memory -= s.entryKb
+			s.memory, s.entries = s.memory-s.entryKb, s.entries-1
 		case w.state == held:
 			s.pool.cur.drops++
 			s.decline(w, s.look, false)
@@ -735,7 +735,7 @@
 	return c.votes > few
 }
 
-// declinedAnywhere says whether other servers seem to decline as this one does: many later tries come, or much
-// is turned away though runs are as quick as in quiet. Guards against tries that walk through a large fleet,
-// whatever started them; harms where this server alone is short of room though its runs are not slow.
+// declinedAnywhere says whether other servers seem to decline as this one does: many later tries come, or
+// much is turned away though runs are quick. Guards against tries that walk through a large fleet, whatever
+// started them; harms where this server alone is short of room though its runs are not slow.
 func (c *callers) declinedAnywhere() bool { return max(c.laterTries, c.turned) > c.pace*c.wishFrom }
--- a/admission/host.go
+++ b/admission/host.go
@@ -54,6 +54,7 @@
 	Memory     float64 // kilobytes
 	RunFactor  float64 // memory of a running work item over that of a held one
 	EntryKb    float64 // memory of a remembered stamp
+	Entries    int     // the most stamps remembered; 0 where the memory alone bounds them
 	Period     Tenths  // batches come at most this often
 	Grace      Tenths  // what comes later than this after the notice to leave is not run
 
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -104,6 +104,7 @@
 			"cores":    func(v float64) { d.Cores = int(v) },
 			"memory":   func(v float64) { d.Memory = v },
 			"entry":    func(v float64) { d.EntryKb = v },
+			"entries":  func(v float64) { d.Entries = int(v) },
 			"stops":    func(v float64) { d.Stops = v == 1 },
 			"share":    func(v float64) { d.SharedBelow, d.CallShare = true, v },
 			"linger":   func(v float64) { d.Linger = Tenths(v * 10) },
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -26,9 +26,10 @@
 
 type interpreter struct {
 	wire
-	link    *dialled // the one that stands
-	next    *dialled // a dial under way
-	up      bool     // commands may go out: the interpreter is up and what it replays has been taken
+	link    *dialled         // the one that stands
+	next    *dialled         // a dial under way
+	since   admission.Tenths // that commands could go out
+	up      bool             // commands may go out: the interpreter is up and what it replays has been taken
 	last    uint64
 	carry   []byte
 	kinds   [][]byte // names of categories as JSON
@@ -81,8 +82,14 @@
 }
 
 func (l *interpreter) closed() {
+	stood := l.up && l.app.now-l.since >= redialAfter
 	l.lost()
-	if l.next == nil {
+	switch {
+	case l.next != nil: // one is being dialled already
+	case stood:
+		l.backOff = backOff{}
+		l.dial()
+	default:
 		l.app.set(&l.again, l.app.now+l.backOff.next())
 	}
 }
@@ -114,7 +121,7 @@
 
 // ready: from now on commands go out, first those that waited for a link.
 func (l *interpreter) ready() {
-	l.up, l.fence, l.backOff = true, "", backOff{}
+	l.up, l.fence, l.since = true, "", l.app.now
 	for _, it := range l.app.items.byID {
 		switch {
 		case it.ended:
@@ -294,6 +301,8 @@
 	if a.server == nil {
 		terms := a.place.Terms.Deployment
 		terms.Cold = state == "COLD"
+		// Stamps and results lie in this process's memory, not in the interpreter's that the settings speak of.
+		terms.EntryKb, terms.Entries = 0, max(1, a.place.Memory/stampsPart/stampSize)
 		a.server = admission.New(terms, &a.items, a.now-since)
 		a.server.At(a.now)
 		log.Printf("event=interpreter_up name=%s state=%s since_ms=%d", a.place.Name, state, since/10)
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -18,8 +18,10 @@
 	mostBody   = 2 << 10
 	mostResult = 4 << 10
 	mostKey    = 64
-	ahead      = 1000 // ms that a router's clock may be ahead
-	budgets    = 2    // expiries: what waits longer than so many cannot be meant
+	stampsPart = 4                 // one part in so many of the memory is for stamps
+	stampSize  = mostResult + 1024 // what one takes at most
+	ahead      = 1000              // ms that a router's clock may be ahead
+	budgets    = 2                 // expiries: what waits longer than so many cannot be meant
 )
 
 type items struct {
@@ -332,7 +334,9 @@
 		it.answer("500 The run failed", "", nil)
 	}
 	if m := it.stamp; m != nil {
-		m.ended, m.well, m.result = true, how == admission.Well, result
+		if m.ended, m.well = true, how == admission.Well && len(result) <= mostResult; m.well {
+			m.result = result
+		}
 		it.app.items.release(m)
 	}
 	it.handle.RunEnded(how, took)
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -19,7 +19,7 @@
 "Window":5000,"Worth":1}],"FamilyInfo":{"CallShare":9,"CallsOver":5000,"Cores":2,"Downstream":"common","MemoryKb":80000,
 "Meters":["core_use","on_cores"],"RunFactor":8,"Halt":"drop"},"Servers":1,"Rules":{"TipMultiple":8}}`))
 	require.NoError(t, err)
-	a := New(Place{Name: "n", Sockets: 64, Terms: terms})
+	a := New(Place{Name: "n", Sockets: 64, Memory: 64 << 20, Terms: terms})
 	a.now = 10_000_000
 	require.NoError(t, a.interpreter.traffic([]byte(`{"type":"BANNER","state":"WARM","took":1}`+"\n")))
 	c := &router{wire: wire{app: a}}
@@ -151,3 +151,21 @@
 	require.False(t, a.afterStandstill())
 	require.Equal(t, 1, rang)
 }
+
+// A link that stood and breaks is dialled again at once; one that does not stand waits ever longer.
+func TestABrokenLinkIsDialledAtOnce(t *testing.T) {
+	a, _ := running(t)
+	a.thread = noLoop{}
+	l := &a.interpreter
+	breaks := func(stood admission.Tenths) (dialled bool) {
+		l.next, l.conn, l.up, l.since = nil, nowhere{}, true, a.now-stood
+		l.closed()
+		return l.next != nil
+	}
+	require.True(t, breaks(redialAfter))
+	require.False(t, breaks(redialAfter-1))
+	require.Equal(t, a.now+redialAfter, l.again.at)
+	require.False(t, breaks(redialAfter-1))
+	require.Equal(t, a.now+2*redialAfter, l.again.at)
+	require.True(t, breaks(redialAfter))
+}
