Connections to the index rest for 50 ms at most: those forgotten were so after 100 ms

Seen: a probe of each connection that ended under a call. With up to 85 ms at rest it ended after the time a call takes; from 98.6 ms on it ended within 0.2 ms of the call, without exception: a forgotten connection, on which the call never ran, but which no word of the page tells from a call that ran and was reset. So a stamped item was broken off for it. At fault: restMost in index.go, 250 ms. A connection is not used past its rest though the alarm comes late.

--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	restMost  = second / 4 // a connection at rest is closed after this: the longer, the likelier it was forgotten
-	lanesPart = 12         // and of the descriptors one in so many may carry calls
+	restMost  = second / 20 // a connection at rest is closed after this: one forgotten was so after twice as long
+	lanesPart = 12          // and of the descriptors one in so many may carry calls
 	mostReply = 64 << 10
 )
 
@@ -71,6 +71,7 @@
 // place finds the call a connection: the one that last carried a call, as it is the likeliest to be alive, but not
 // one on which a second copy of an earlier reply to the same run could come.
 func (x *index) place(c *call) {
+	x.closeResting() // after a standstill the alarm comes late
 	for i := len(x.resting) - 1; i >= 0; i-- {
 		if l := x.resting[i]; l.last != c.it.id {
 			x.resting = slices.Delete(x.resting, i, i+1)
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -169,3 +169,20 @@
 	require.Equal(t, a.now+2*redialAfter, l.again.at)
 	require.True(t, breaks(redialAfter))
 }
+
+// A connection that rested long may have been forgotten and carries no call, though the alarm that closes it is late.
+func TestAConnectionLongAtRestCarriesNoCall(t *testing.T) {
+	for rested, used := range map[admission.Tenths]bool{restMost - 1: true, restMost: false} {
+		a, _ := running(t)
+		a.thread = noLoop{}
+		a.items.byID[job].handle.AtCall()
+		a.server.Decide()
+		l := a.items.byID[job].call.lane
+		l.opened(nowhere{})
+		require.NoError(t, l.traffic([]byte(job+" HIT 0\r\n\r\n")))
+		a.now += rested
+		c := &call{it: &item{id: "another"}}
+		a.index.place(c)
+		require.Equal(t, used, c.lane == l)
+	}
+}
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -75,6 +75,7 @@
 	late        lags // of the timer
 	bad         int  // connections closed for what came on them
 	unread      int  // and for what lay on them unread
+	unreached   int  // dials that failed
 	state       alarm
 }
 
@@ -445,16 +446,20 @@
 			}
 		}
 		if err != nil {
-			a.do(d.fail)
+			a.do(func() { d.fail(address, err) })
 		}
 	}()
 	return d
 }
 
-func (d *dialled) fail() {
-	if !d.dropped {
-		d.failed()
+func (d *dialled) fail(address string, err error) {
+	if d.dropped {
+		return
+	}
+	if often(&d.app.unreached) {
+		log.Printf("event=not_reached address=%s reason=%q count=%d", address, err, d.app.unreached)
 	}
+	d.failed()
 }
 
 func (d *dialled) opened(c gnet.Conn) {
