--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -16,7 +16,7 @@
 
 const (
 	restMost  = second / 20 // a connection at rest is closed after this: one forgotten was so after twice as long
-	lanesPart = 12          // and of the descriptors one in so many may carry calls
+	lanesPart = 16          // and one for so many descriptors may carry calls; a dial takes two for a moment
 	mostReply = 64 << 10
 )
 
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -172,6 +172,8 @@
 var fieldNames = []string{"SCRIPT_NAME", "REQUEST_METHOD", "CONTENT_LENGTH", "HTTP_REQUEST_ID", "HTTP_RECEIVED_AT",
 	"HTTP_SENT_BY", "HTTP_ACCOUNT", "HTTP_BUDGET_MS", "HTTP_FOOTPRINT_KB", "HTTP_PRIORITY_RANK", "HTTP_ONCE_KEY"}
 
+const tooLong = "413 Body too long"
+
 // number reads a figure that must lie from least up to below end.
 func number(text []byte, least, end float64) (float64, bool) {
 	n, err := strconv.ParseFloat(string(text), 64)
@@ -196,8 +198,8 @@
 	if string(f[fieldMethod]) != "POST" {
 		return it, arrival, 0, "405 Method"
 	}
-	if s.TooLong || len(s.Body) > mostBody {
-		return it, arrival, 0, "413 Body too long"
+	if len(s.Body) > mostBody {
+		return it, arrival, 0, tooLong
 	}
 	if length := f[fieldLength]; len(length) > 0 && string(length) != strconv.Itoa(len(s.Body)) {
 		return it, arrival, 0, "400 Content-Length"
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -38,7 +38,7 @@
 
 func (r *routers) start(a *App) {
 	r.app, r.fresh, r.idle, r.idleFor, r.good = a, list.New(), list.New(), never, true
-	r.most = max(1, a.place.Sockets-keptBack-a.index.most)
+	r.most = max(1, a.place.Sockets-keptBack-2*a.index.most)
 	r.closing.ring = r.closeIdle
 }
 
@@ -56,7 +56,7 @@
 // accept makes room for a newcomer where the table is full: silent connections and such as asked once and stay must
 // not keep routers out.
 func (r *routers) accept() peer {
-	for r.open >= r.most {
+	if r.open >= r.most {
 		c := r.leastClaim()
 		if c == nil {
 			if often(&r.full) {
@@ -213,6 +213,8 @@
 	c.app.items.take(c, s)
 }
 
+func (c *router) Overlong(s *fastcgi.Stream) { c.answer(s, tooLong, "", nil) }
+
 func (c *router) Aborted(s *fastcgi.Stream) {
 	if it, is := s.Mark.(*item); is {
 		it.gone()
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -49,24 +49,24 @@
 
 // Peer is what a Parser calls. No call may feed the same Parser.
 type Peer interface {
-	Whole(*Stream)   // a request has come whole
-	Aborted(*Stream) // its sender stopped waiting for it; it stays open until End
-	Reply([]byte)    // records that are owed at once
-	Room() bool      // whether there is room for another request's buffers
-	Buffer() []byte  // an empty buffer of the one size
-	Free([]byte)     // and its return
+	Whole(*Stream)    // a request has come whole
+	Overlong(*Stream) // its body is beyond the buffer; what still comes of it is passed over once it is ended
+	Aborted(*Stream)  // its sender stopped waiting for it; it stays open until End
+	Reply([]byte)     // records that are owed at once
+	Room() bool       // whether there is room for another request's buffers
+	Buffer() []byte   // an empty buffer of the one size
+	Free([]byte)      // and its return
 }
 
 // Stream is one open request.
 type Stream struct {
-	ID      uint16
-	Keep    bool   // the connection stays open after the answer
-	TooLong bool   // the body went past the buffer; what is kept of it is cut
-	Body    []byte // in a buffer of the peer's; whoever takes it sets nil here
-	Mark    any    // the peer's own
-	Late    bool   // the peer's own too
-	fields  []byte // name-value pairs
-	state   int
+	ID     uint16
+	Keep   bool   // the connection stays open after the answer
+	Body   []byte // in a buffer of the peer's; whoever takes it sets nil here
+	Mark   any    // the peer's own
+	Late   bool   // the peer's own too
+	fields []byte // name-value pairs
+	state  int
 }
 
 const (
@@ -257,9 +257,11 @@
 		if s.Body == nil {
 			s.Body = peer.Buffer()
 		}
-		room := cap(s.Body) - len(s.Body)
-		s.TooLong = s.TooLong || len(data) > room
-		s.Body = append(s.Body, data[:min(room, len(data))]...)
+		if len(data) > cap(s.Body)-len(s.Body) { // answered now, not when the last byte has come
+			peer.Overlong(s)
+			return nil
+		}
+		s.Body = append(s.Body, data...)
 	}
 	return nil
 }
