Gauges that could not be read at a wake do not make the pool grow

At fault: interpreter.woken gave the module the gauges of the last answer at each wake, also with no link or a late answer; cores that had read idle once were filled again at every wake. Ruled out: declines for memory (0.22 at most), calls (1.3 ms), the hold's budget. The gauges say now whether they are of this wake.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -323,8 +323,9 @@
 }
 
 func (s *Server) Woken(g Gauges) {
-	s.wakes = forever
-	s.pool.gauged(g, s.now, len(s.hold))
+	if s.wakes = forever; !g.Stale { // else the pool would grow again by cores that read idle some time ago
+		s.pool.gauged(g, s.now, len(s.hold))
+	}
 }
 
 // Decide ends a batch.
@@ -573,8 +574,7 @@
 
 type window struct{ in, out, drops, calls float64 } // what one experiment counted
 
-// experiment moves the pool by what the last window brought, in equal steps up and down. Where a window is
-// over, it gives the rate of calls in it.
+// experiment moves the pool, in equal steps, by what the last window brought, and gives its rate of calls.
 func (p *pool) experiment(now Tenths) (calls float64, over bool) {
 	if p.counts > 0 && now >= p.counts {
 		p.cur, p.counts = window{}, 0 // the first round trip is skipped
--- a/admission/host.go
+++ b/admission/host.go
@@ -91,6 +91,7 @@
 type Gauges struct {
 	CoreUse float64 // share of the cores busy, over the last half second
 	OnCores float64 // all that wants a core now
+	Stale   bool    // they could not be read now: these are of an earlier wake
 }
 
 // Host is what the embedding server does for the module. No call may call back.
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -128,7 +128,7 @@
 		s.server.Leave(s.tenths(word[1], where))
 	case "woken":
 		f := s.fields(word[1:], where)
-		s.server.Woken(Gauges{CoreUse: f["use"], OnCores: f["cores"]})
+		s.server.Woken(Gauges{CoreUse: f["use"], OnCores: f["cores"], Stale: f["stale"] == 1})
 	default:
 		w := s.items[word[1]]
 		s.NotNil(w, where)
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -192,6 +192,7 @@
 	l.wanted = false
 	l.app.unset(&l.enough)
 	l.ages.add(l.app.now - l.read)
+	l.gauges.Stale = l.read < l.app.now // the link is down, or the answer late
 	l.app.server.Woken(l.gauges)
 }
 
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -132,9 +132,11 @@
 	require.True(t, a.interpreter.wanted)
 	require.Equal(t, 1, pass(30, true))
 	require.Equal(t, 2.0, a.interpreter.gauges.OnCores)
+	require.False(t, a.interpreter.gauges.Stale)
 	a.items.Wake(10)
 	require.Equal(t, 0, pass(10+leastWait-1, false))
 	require.Equal(t, 1, pass(1, false))
+	require.True(t, a.interpreter.gauges.Stale)
 }
 
 // After a standstill neither alarms nor the module speak before the sockets have been read once more.
