A run that was heard of keeps its stamp, whatever is said of its never having begun

Found by fuzzing sequences on a debug build: MOOT after an AWAIT of the same run had the module forget a stamp that ran, and another try could have run. At fault: interpreter.notice passed it on as never begun. It counts as cut now; doubt goes to the safe side. The input stands among the seeds and fails without the change; the interpreter of the test hears of a command before it speaks of it.

--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -266,7 +266,7 @@
 		}
 		switch {
 		case it == nil:
-		case how == admission.NeverBegun && !it.heard:
+		case how == admission.NeverBegun:
 			it.neverBegun()
 		default:
 			it.heard, it.doubt = true, false
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -314,8 +314,13 @@
 	it.handle.Gone()
 }
 
-// neverBegun: it is proven that nothing of it ran, so its stamp is free for another try.
+// neverBegun: it is proven that nothing of it ran, so its stamp is free for another try. Where the run has been heard
+// of, such word proves nothing: the stamp stays.
 func (it *item) neverBegun() {
+	if it.heard {
+		it.runEnded(admission.Cut, 0, nil)
+		return
+	}
 	if m := it.stamp; m != nil && m.owner == it && !it.ended {
 		m.ran = false
 	}
--- a/internal/appserver/sequence_test.go
+++ b/internal/appserver/sequence_test.go
@@ -87,6 +87,7 @@
 	}
 	ends := []string{"OK", "ERROR", "STOPPED", "MOOT"}
 	answers := []string{"HIT 2\r\nok", "SHED", "BROKEN", "SLOW", "NOBODY"}
+	decide() // the first run's command leaves before anything is heard of it
 	for len(data) >= 2 {
 		what, n := data[0]%10, data[1]
 		data = data[2:]
@@ -165,6 +166,7 @@
 }
 
 func FuzzSequences(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x02\x00\x04\x04\x00\x04\x01\x00\x00\x05\x00\x06\x00\"7000000")) // MOOT of a run heard of
 	f.Add([]byte{0, 0, 0, 2, 0, 4, 4, 0, 4, 1, 0, 0, 5, 0, 6, 0, 6, 3, 6, 0, 8, 7, 0, 1})
 	f.Add([]byte{0, 0, 0, 1, 7, 0, 0, 3, 7, 0, 4, 0, 3, 1, 8, 255, 8, 254, 0, 0, 4, 1})
 	f.Fuzz(play)
