--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -212,9 +212,7 @@
 	waits := c.look(1, "waits")
 	v.applied(waits, "waits")
 	v.await(waits, "q")
-	x := r.link(r.index)
-	r.Contains(r.line(x), "GET "+waits)
-	r.line(x)
+	x := r.called(waits)
 	r.say(x, "%s HIT 2\r\nok\r", waits)
 	r.Equal("RESOLVE "+waits, func() string { o := v.next(); return o.Type + " " + o.Job }())
 	book := c.book(2, "k")
@@ -247,9 +245,7 @@
 	id := c.look(1, "a")
 	v.applied(id, "a")
 	v.await(id, "q")
-	old := r.link(r.index)
-	r.Contains(r.line(old), "GET "+id)
-	r.line(old)
+	old := r.called(id)
 	r.link(r.directory)
 	config := r.config
 	for _, s := range []**standIn{&r.vm, &r.index, &r.directory} {
@@ -302,9 +298,7 @@
 	v.applied(id, "entry k")
 	v.await(id, "q")
 	for _, reply := range []string{"SHED", "NOBODY", "SLOW"} {
-		x := r.link(r.index) // never the connection that a second copy could come on
-		r.Contains(r.line(x), "GET "+id)
-		r.line(x)
+		x := r.called(id) // never the connection that a second copy could come on
 		r.say(x, "%s %s\r", id, reply)
 		x.Close() // closed while it rests
 	}
@@ -317,14 +311,10 @@
 	harmless := c.look(2, "h")
 	v.applied(harmless, "h")
 	v.await(harmless, "q")
-	x := r.link(r.index)
-	r.Contains(r.line(x), "GET "+harmless)
-	r.line(x)
+	x := r.called(harmless)
 	r.say(x, "nonsense\r")
 	r.over(x)
-	x = r.link(r.index)
-	r.Contains(r.line(x), "GET "+harmless)
-	r.line(x)
+	x = r.called(harmless)
 	r.say(x, "%s HIT 0\r\n\r", harmless)
 	r.Equal("RESOLVE", v.next().Type)
 	v.value(harmless, "OK", "h")
@@ -337,9 +327,7 @@
 	id := c.brief(1)
 	v.applied(id, "b")
 	v.await(id, "q")
-	x := r.link(r.index)
-	r.Contains(r.line(x), "GET "+id)
-	r.line(x)
+	x := r.called(id)
 	v.serves(c, 2, "other")
 	r.over(x) // which gives the call up
 	c.answered(1, 500, "")
--- a/cmd/thistlequay/standins_test.go
+++ b/cmd/thistlequay/standins_test.go
@@ -117,6 +117,14 @@
 	r.NoError(err)
 }
 
+// called gives the connection to the index on which the call of this work item came.
+func (r *rig) called(id string) *link {
+	x := r.link(r.index)
+	r.Contains(r.line(x), "GET "+id)
+	r.line(x) // its body
+	return x
+}
+
 // prepare makes the parties and the configuration.
 func prepare(t *testing.T) *rig {
 	r := &rig{Assertions: require.New(t), t: t}
--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -28,7 +28,7 @@
 	resting []*lane // that carry nothing, the longest at rest first
 	queue   []*call // that wait for a connection
 	rest    alarm
-	settled int // of address: those of an earlier one carry no new call
+	moves   int // to other addresses: a connection from before the last one carries no new call
 }
 
 // call is one call in the hands of the index, or on its way there.
@@ -49,7 +49,7 @@
 	last  string // the work item of the call before
 	carry []byte
 	since admission.Tenths // at rest
-	of    int              // the address
+	of    int              // so many moves
 }
 
 func (x *index) start(a *App) {
@@ -83,7 +83,7 @@
 		x.queue = append(x.queue, c)
 		return
 	}
-	l := &lane{wire: wire{app: x.app, most: mostOnLink}, index: x, call: c, of: x.settled}
+	l := &lane{wire: wire{app: x.app, most: mostOnLink}, index: x, call: c, of: x.moves}
 	c.lane = l
 	x.lanes++
 	l.via = x.app.dial(x.app.place.Index, l, func() { l.gone(admission.Unseen) })
@@ -93,19 +93,21 @@
 // call is closed: that gives the call up, and whatever would still come on it.
 func (x *index) leave(c *call) (how admission.Outcome) {
 	l := c.lane
-	switch {
-	case l == nil:
+	if l == nil {
 		x.queue = slices.DeleteFunc(x.queue, func(q *call) bool { return q == c })
 		return admission.Unseen
-	case l.conn == nil: // the dial goes on for whom it may serve
-		l.call, c.lane = nil, nil
+	}
+	l.part()
+	if l.conn == nil { // the dial goes on for whom it may serve
 		return admission.Unseen
 	}
-	l.call, c.lane = nil, nil
 	l.close()
 	return admission.Unknown
 }
 
+// part parts the connection from its call.
+func (l *lane) part() { l.call.lane, l.call = nil, nil }
+
 // giveUp forgets the call of a run that is over.
 func (x *index) giveUp(it *item) {
 	if c := it.call; c != nil {
@@ -127,7 +129,7 @@
 
 // move: the index is at another address now. What is out may end where it is; all else goes there.
 func (x *index) move() {
-	x.settled++
+	x.moves++
 	for _, l := range slices.Clone(x.resting) {
 		l.close()
 	}
@@ -163,7 +165,7 @@
 // free has it carry the next call, or rest.
 func (l *lane) free() {
 	x := l.index
-	if l.of != x.settled {
+	if l.of != x.moves {
 		l.close()
 		return
 	}
@@ -195,7 +197,7 @@
 	x.lanes--
 	x.resting = slices.DeleteFunc(x.resting, func(r *lane) bool { return r == l })
 	if c := l.call; c != nil {
-		l.call, c.lane = nil, nil
+		l.part()
 		x.end(c, how)
 	}
 	if len(x.queue) > 0 && x.lanes < x.most {
@@ -269,7 +271,7 @@
 	}
 	c := l.call
 	if it := c.it; string(fields[0]) == it.id { // another's is passed over
-		l.call, c.lane = nil, nil
+		l.part()
 		if how == admission.Well && it.conn != nil {
 			l.app.interpreter.goOn(it, bytes.Clone(body))
 		}
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -29,6 +29,17 @@
 	return a, c
 }
 
+// calling makes one whose run stands at a call that is out on a connection.
+func calling(t *testing.T) (*App, *router, *lane) {
+	a, c := running(t)
+	a.thread = noLoop{}
+	a.items.byID[job].handle.AtCall()
+	a.server.Decide()
+	l := a.items.byID[job].call.lane
+	l.opened(nowhere{})
+	return a, c, l
+}
+
 // request is a whole one, in records as a router sends them.
 var request = func() string {
 	record := func(kind byte, content string) string {
@@ -77,12 +88,7 @@
 	f.Add(strings.Repeat("x", 200), 9)
 	f.Fuzz(func(t *testing.T, text string, size int) {
 		heard := func(size int) string {
-			a, c := running(t)
-			a.thread = noLoop{}
-			a.items.byID[job].handle.AtCall()
-			a.server.Decide()
-			l := a.items.byID[job].call.lane
-			l.opened(nowhere{})
+			a, c, l := calling(t)
 			err := inPieces(text, size, l.traffic)
 			return fmt.Sprint(err, a.index.out, string(c.out), string(a.interpreter.out))
 		}
@@ -175,12 +181,7 @@
 // A connection that rested long may have been forgotten and carries no call, though the alarm that closes it is late.
 func TestAConnectionLongAtRestCarriesNoCall(t *testing.T) {
 	for rested, used := range map[admission.Tenths]bool{restMost - 1: true, restMost: false} {
-		a, _ := running(t)
-		a.thread = noLoop{}
-		a.items.byID[job].handle.AtCall()
-		a.server.Decide()
-		l := a.items.byID[job].call.lane
-		l.opened(nowhere{})
+		a, _, l := calling(t)
 		require.NoError(t, l.traffic([]byte(job+" HIT 0\r\n\r\n")))
 		a.now += rested
 		c := &call{it: &item{id: "another"}}
