The hold in trees: order and test on joining are logarithmic, turns of tenants have a place

Need: fill read the whole hold for each start, the test on joining for each newcomer, and each batch cloned it; fair queues need an order by tenant that costs nothing per tenant.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -43,54 +43,12 @@
 
 func toward(mean *float64, newest, weight float64) { *mean += (newest - *mean) * weight }
 
-// spread is a histogram of times.
-type spread struct {
-	width Tenths
-	n     float64
-	count [bins]float64
-}
-
-func spreadOver(scale Tenths) spread { return spread{width: max(1, scale/binsAScale)} }
-
-func (s *spread) add(t Tenths) {
-	s.count[max(0, min(int(t/s.width), bins-1))]++
-	if s.n++; s.n >= enough {
-		s.n /= 2
-		for i := range s.count {
-			s.count[i] /= 2
-		}
-	}
-}
-
-// at gives the time that the share q of all counted stays under; 0 while nothing is known.
-func (s *spread) at(q float64) Tenths {
-	left := q * s.n
-	for i, c := range s.count {
-		if left <= c && c > 0 {
-			return Tenths((float64(i) + left/c) * float64(s.width))
-		}
-		left -= c
-	}
-	return 0
-}
-
-// under gives the share of all counted that stays under t; all while nothing is known.
-func (s *spread) under(t Tenths) float64 {
-	sum := 0.0
-	for i, c := range s.count {
-		sum += c * max(0, min(1, float64(t-Tenths(i)*s.width)/float64(s.width)))
-	}
-	if s.n == 0 {
-		return 1
-	}
-	return sum / s.n
-}
-
 // category is what decisions need of one kind of work item.
 type category struct {
 	gain, lateShare          float64
 	contract, expiry, window Tenths
 	effect                   Effect
+	place                    int
 	runs                     spread // times of all runs, those broken off as long as they had run
 	quiet                    spread // times of runs that the cores were not crowded during
 }
@@ -119,20 +77,12 @@
 	place                 int    // in the heap of moments, -1 outside
 	began, notYet         Tenths // its run; a call is not made again before this
 	kb                    float64
-	stamped               Tenths // until when it owns an entry in the table of stamps, 0 where it does not
-	quiet, answered, gone bool   // the cores were quiet when its run began; it has its answer; its caller left
-}
-
-type moments []*WorkItem
-
-func (m moments) Len() int           { return len(m) }
-func (m moments) Less(i, j int) bool { return m[i].moment < m[j].moment }
-func (m moments) Swap(i, j int)      { m[i], m[j] = m[j], m[i]; m[i].place, m[j].place = i, j }
-func (m *moments) Push(x any)        { w := x.(*WorkItem); w.place = len(*m); *m = append(*m, w) }
-func (m *moments) Pop() any {
-	w := (*m)[len(*m)-1]
-	*m, w.place = (*m)[:len(*m)-1], -1
-	return w
+	turn                  float64 // it waits while others wait whose turn has come
+	behind                Tenths  // how long that will take, as was told when it came
+	order                 uint64  // in which they were taken
+	within                bool    // its turn has come
+	stamped               Tenths  // until when it owns an entry in the table of stamps, 0 where it does not
+	quiet, answered, gone bool    // the cores were quiet when its run began; it has its answer; its caller left
 }
 
 // Server decides for one app server.
@@ -144,7 +94,7 @@
 	calls      calls
 	callers    callers
 
-	hold    []*WorkItem // oldest first; those not yet in moments have not passed the test on joining
+	hold    hold        // those not yet in moments have not passed the test on joining
 	stood   []*WorkItem // at a call that is not made yet
 	moments moments
 
@@ -167,10 +117,11 @@
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, d.ColdFor, now+d.ColdFor
 	}
 	shortest, longest := Tenths(forever), Tenths(1)
-	for _, c := range d.Categories {
+	s.hold = newHold(len(d.Categories))
+	for i, c := range d.Categories {
 		shortest, longest = min(shortest, c.Contract), max(longest, c.Expiry)
 		s.categories = append(s.categories, &category{gain: c.Gain, lateShare: c.LateShare, contract: c.Contract,
-			expiry: c.Expiry, window: c.Window, effect: c.Effect,
+			expiry: c.Expiry, window: c.Window, effect: c.Effect, place: i,
 			runs: spreadOver(c.Contract), quiet: spreadOver(c.Contract)})
 	}
 	s.look = max(1, Tenths(float64(shortest)*lookPart))
@@ -189,10 +140,14 @@
 
 func (s *Server) At(now Tenths) { s.now = max(s.now, now) }
 
+// Turn is up to where the turns of work items have come.
+func (s *Server) Turn() float64 { return s.hold.turn }
+
 // Take takes a work item that has been read; what becomes of it is settled at Decide.
 func (s *Server) Take(a Arrival) *WorkItem {
 	c := s.categories[max(0, min(a.Category, len(s.categories)-1))]
-	w := &WorkItem{Door: a.Door, s: s, category: c, arrived: s.now - a.Unread, kb: a.HeldKb, place: -1}
+	w := &WorkItem{Door: a.Door, s: s, category: c, arrived: s.now - a.Unread, kb: a.HeldKb, place: -1,
+		turn: a.Turn, behind: a.Behind}
 	w.contract, w.due = w.arrived+c.contract, w.arrived+c.expiry
 	if a.Left > 0 {
 		w.due = s.now + a.Left
@@ -218,7 +173,7 @@
 		}
 		s.decline(a.Earlier, 0, false)
 	}
-	s.hold = append(s.hold, w)
+	s.hold.join(w)
 	return w
 }
 
@@ -313,7 +268,7 @@
 		return
 	}
 	s.leaving, s.stop, s.graceEnd = true, s.now+in, s.now+s.graceEnd
-	for _, w := range slices.Concat(s.hold, s.moments) {
+	for _, w := range slices.Concat(s.hold.fresh, s.moments) {
 		if w.due = min(w.due, s.stop-s.margin); w.state != over {
 			w.moment = min(w.moment, w.due)
 		}
@@ -324,7 +279,7 @@
 
 func (s *Server) Woken(g Gauges) {
 	if s.wakes = forever; !g.Stale { // else the pool would grow again by cores that read idle some time ago
-		s.pool.gauged(g, s.now, len(s.hold))
+		s.pool.gauged(g, s.now, s.hold.n)
 	}
 }
 
@@ -335,22 +290,20 @@
 	}
 	s.lastMoments()
 	s.makeCalls()
-	for _, w := range slices.Clone(s.hold) {
-		if w.place < 0 {
+	for _, w := range s.hold.fresh {
+		if w.state == held {
 			s.admit(w)
 		}
 	}
 	s.fill()
-	for _, w := range slices.Clone(s.hold) {
-		if w.place >= 0 {
+	for _, w := range s.hold.fresh {
+		if w.state != held {
 			continue
 		}
-		// The test on joining the hold, for those that could not start at once. A queue waits as its oldest does.
-		budget, queued, value := w.worthUntil()-w.arrived-w.category.quiet.at(budgetAt), s.now-w.arrived, w.value()
-		ahead := func(h *WorkItem) bool { return h.place >= 0 && h.value() >= value }
-		if i := slices.IndexFunc(s.hold, ahead); i >= 0 {
-			queued += s.now - s.hold[i].arrived
-		}
+		// The test on joining the hold, for those that could not start at once. A queue waits as its oldest does,
+		// or as what is behind in the turns of its tenant will.
+		budget := w.worthUntil() - w.arrived - w.category.quiet.at(budgetAt)
+		queued := s.now - w.arrived + max(s.queue(w), w.behind)
 		if queued > max(0, budget) {
 			s.decline(w, queued, false)
 		} else {
@@ -358,12 +311,14 @@
 			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(fairChance))))
 		}
 	}
+	clear(s.hold.fresh)
+	s.hold.fresh = s.hold.fresh[:0]
 	s.tell()
 	next := Tenths(forever)
 	if len(s.moments) > 0 {
 		next = max(s.now+1, s.moments[0].moment)
 	}
-	if len(s.hold) > 0 || s.pool.in > 0 {
+	if s.hold.n > 0 || s.pool.in > 0 {
 		next = min(next, s.now+s.look)
 	}
 	if next < s.wakes {
@@ -384,9 +339,12 @@
 func (w *WorkItem) value() float64 {
 	c := w.category
 	fits := c.runs.under(w.contract - w.s.now)
-	return c.gain * (fits + (1-fits)*c.lateShare) / float64(max(c.runs.width, c.runs.at(0.5)))
+	return c.gain * (fits + (1-fits)*c.lateShare) / c.typical()
 }
 
+// typical is the time that its runs take.
+func (c *category) typical() float64 { return float64(max(c.runs.width, c.runs.at(0.5))) }
+
 // tight says that there is no room left to hold more.
 func (s *Server) tight() bool { return s.memory > s.memoryMost*(1+workPart)/2 }
 
@@ -398,7 +356,8 @@
 		s.decline(w, forever, false)
 	case s.now+w.category.quiet.at(0.1) >= w.worthUntil(): // too late anywhere
 		s.decline(w, 0, true)
-	case s.tight(), stamped && (s.memory+s.entryKb > s.memoryMost*workPart || s.entries >= s.entriesMost):
+	case s.tight() && !s.makeRoom(w),
+		stamped && (s.memory+s.entryKb > s.memoryMost*workPart || s.entries >= s.entriesMost):
 		// No room to hold it, or to remember that it ran.
 		s.decline(w, s.look, false)
 	case stamped:
@@ -411,17 +370,17 @@
 
 // fill starts held work items, the most valuable first, while the pool and the guards have room.
 func (s *Server) fill() {
-	for len(s.hold) > 0 {
+	for s.hold.n > 0 {
 		if s.pool.in >= s.pool.room() {
 			s.pool.full = true
 			return
 		}
-		best := slices.MaxFunc(s.hold, func(a, b *WorkItem) int { return cmp.Compare(a.value(), b.value()) })
+		best := s.best()
 		more := best.kb * (s.runFactor - 1)
 		if float64(s.pool.in-s.pool.atCalls) >= s.crowd()-1 || s.memory+more > s.memoryMost*workPart {
 			return
 		}
-		s.leaveHold(best)
+		s.hold.leave(best)
 		best.state, best.began, best.quiet = running, s.now, s.pool.onCores <= s.pool.cores
 		s.memory += more
 		s.pool.in++
@@ -485,10 +444,6 @@
 	heap.Push(&s.moments, w)
 }
 
-func (s *Server) leaveHold(w *WorkItem) {
-	s.hold = slices.DeleteFunc(s.hold, func(h *WorkItem) bool { return h == w })
-}
-
 // decline answers a work item that never ran here.
 func (s *Server) decline(w *WorkItem, away Tenths, nowhereElse bool) {
 	w.answered = true
@@ -517,7 +472,7 @@
 	s.memory -= w.kb
 	switch {
 	case w.state == held:
-		s.leaveHold(w)
+		s.hold.leave(w)
 		w.forget()
 	case w.state != sharing:
 		s.pool.in--
--- /dev/null
+++ b/admission/books.go
@@ -0,0 +1,74 @@
+package admission
+
+// This file owns the two ways in which the module keeps its books: coarse histograms of times, and a heap of moments.
+// It must never decide anything, nor hold a figure that was tuned.
+
+// spread is a histogram of times.
+type spread struct {
+	width Tenths
+	n     float64
+	count [bins]float64
+}
+
+func spreadOver(scale Tenths) spread { return spread{width: max(1, scale/binsAScale)} }
+
+func (s *spread) add(t Tenths) {
+	s.count[max(0, min(int(t/s.width), bins-1))]++
+	if s.n++; s.n >= enough {
+		s.n /= 2
+		for i := range s.count {
+			s.count[i] /= 2
+		}
+	}
+}
+
+// at gives the time that the share q of all counted stays under; 0 while nothing is known.
+func (s *spread) at(q float64) Tenths {
+	left := q * s.n
+	for i, c := range s.count {
+		if left <= c && c > 0 {
+			return Tenths((float64(i) + left/c) * float64(s.width))
+		}
+		left -= c
+	}
+	return 0
+}
+
+// under gives the share of all counted that stays under t; all while nothing is known.
+func (s *spread) under(t Tenths) float64 {
+	sum := 0.0
+	for i, c := range s.count {
+		sum += c * max(0, min(1, float64(t-Tenths(i)*s.width)/float64(s.width)))
+	}
+	if s.n == 0 {
+		return 1
+	}
+	return sum / s.n
+}
+
+// level gives the least time that as many stay under as under t; less than all times where that is none.
+func (s *spread) level(t Tenths) Tenths {
+	i := max(0, min(int(t/s.width), bins))
+	if t >= 0 && i < bins && s.count[i] > 0 {
+		return t
+	}
+	for i > 0 && s.count[i-1] == 0 {
+		i--
+	}
+	if i == 0 {
+		return -forever
+	}
+	return Tenths(i) * s.width
+}
+
+type moments []*WorkItem
+
+func (m moments) Len() int           { return len(m) }
+func (m moments) Less(i, j int) bool { return m[i].moment < m[j].moment }
+func (m moments) Swap(i, j int)      { m[i], m[j] = m[j], m[i]; m[i].place, m[j].place = i, j }
+func (m *moments) Push(x any)        { w := x.(*WorkItem); w.place = len(*m); *m = append(*m, w) }
+func (m *moments) Pop() any {
+	w := (*m)[len(*m)-1]
+	*m, w.place = (*m)[:len(*m)-1], -1
+	return w
+}
--- a/admission/host.go
+++ b/admission/host.go
@@ -84,6 +84,8 @@
 	Again    bool      // marked as a further try
 	Repeats  bool      // another try of the same stamped work item is held here or has run
 	Earlier  *WorkItem // that try, where the host still has its handle
+	Turn     float64   // it waits while others do whose turn has come (see Server.Turn); 0: for nobody
+	Behind   Tenths    // how long what has turns before it, of its own tenant, will take; 0 where that is not told
 	Door     uint64    // the host's own mark, never read here
 }
 
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -177,6 +177,8 @@
 		"caller":   func(v float64) { a.Caller = int(v) },
 		"unread":   func(v float64) { a.Unread = Tenths(v * 10) },
 		"kb":       func(v float64) { a.HeldKb = v },
+		"turn":     func(v float64) { a.Turn = v },
+		"behind":   func(v float64) { a.Behind = Tenths(v * 10) },
 		"again":    func(v float64) { a.Again = v == 1 },
 	})
 	for _, name := range names {
