--- /dev/null
+++ b/cmd/thistlequay/configure.go
@@ -0,0 +1,90 @@
+package main
+
+// This file owns the platform's configuration: one JSON file, its limits and the settings in it. It must never pass over
+// what it cannot mean.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/zeebo/xxh3"
+
+	"thistlequay/internal/appserver"
+	"thistlequay/internal/deployment"
+	"thistlequay/internal/faults"
+)
+
+const (
+	heapPart     = 0.6 // of the memory, what Go may use before it collects ever harder
+	leastSockets = 48
+	leastMemory  = 16 // MB
+)
+
+// configure reads the configuration. Its faults come all at once, each with its place.
+func configure(path string) (p appserver.Place, err error) {
+	if path == "" {
+		return p, errors.New("PROXY_CONFIG names no configuration")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return p, err
+	}
+	var c struct {
+		Name, Listen, VM, Lookup, Index, Seed string
+		StopMs                                float64 `json:"stop_ms"`
+		Limits                                struct {
+			Cores    float64
+			MemoryMb float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Settings json.RawMessage
+	}
+	if err := faults.JSON(text, &c); err != nil {
+		return p, faults.Of(err).In(path)
+	}
+	var l faults.List
+	for _, a := range []struct{ key, address string }{{"listen", c.Listen}, {"vm", c.VM}, {"lookup", c.Lookup}, {"index", c.Index}} {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			l.Add(a.key, "an address such as 127.0.0.1:8443", "%q is none", a.address)
+		}
+	}
+	if c.Name == "" {
+		l.Add("name", "a name", "is missing or empty")
+	}
+	figure := func(key string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			l.Add(key, fmt.Sprintf("from %v to %v", least, most), "%v is out of range", v)
+		}
+	}
+	figure("stop_ms", c.StopMs, 0, 1e9)
+	figure("limits.cores", c.Limits.Cores, 1e-3, 1e4)
+	figure("limits.memory_mb", c.Limits.MemoryMb, leastMemory, 1e7)
+	figure("limits.sockets", float64(c.Limits.Sockets), leastSockets, 1<<20)
+	var terms *deployment.Terms
+	if c.Settings == nil {
+		l.Add("settings", "the deployment's settings", "is missing")
+	} else if terms, err = deployment.Read(c.Settings); err != nil {
+		for _, f := range faults.Of(err) {
+			f.Path, f.Line = "settings."+f.Path, 0
+			l = append(l, f)
+		}
+	}
+	if len(l) > 0 {
+		return p, faults.LocateJSON(text, l).In(path)
+	}
+	return appserver.Place{Name: c.Name, Listen: c.Listen, Interpreter: c.VM, Index: c.Index, Directory: c.Lookup,
+		StopIn: deployment.Down(c.StopMs), Sockets: c.Limits.Sockets, Memory: int(c.Limits.MemoryMb) << 20,
+		Cores: c.Limits.Cores, Terms: terms, Seed: int64(xxh3.HashString(c.Seed + c.Name))}, nil
+}
+
+// apply has the process keep to its limits.
+func apply(p appserver.Place) {
+	runtime.GOMAXPROCS(max(1, int(p.Cores)))
+	debug.SetMemoryLimit(int64(math.Round(float64(p.Memory) * heapPart)))
+}
--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -1,36 +1,91 @@
-// Command thistlequay is one app server. This file owns its configuration, signals, log and exit codes: 0 after
-// a notice to leave, 1 where it could not start. It must never serve with a configuration it did not understand.
+// Command thistlequay is one app server and the tools around it. This file owns the command line, signals and exit codes:
+// 0 where all went well, 1 where it could not start, failed or a file has faults, 2 where the command line is wrong. It
+// must never serve with a configuration that it did not understand.
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
-	"math"
-	"net"
+	"io"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
 	"thistlequay/internal/appserver"
-	"thistlequay/internal/deployment"
+	"thistlequay/internal/faults"
+	"thistlequay/internal/logs"
+	"thistlequay/internal/service"
 )
 
 const (
-	heapPart     = 0.6 // of the memory, what Go may use before it collects ever harder
-	leastSockets = 48
+	exitFailed = 1
+	exitUsage  = 2
 )
 
-func main() {
-	log.SetFlags(log.LUTC | log.Ldate | log.Ltime | log.Lmicroseconds)
-	place, err := configure(os.Getenv("PROXY_CONFIG"))
+type commands struct {
+	Serve   serve   `cmd:"" default:"withargs" help:"Serve work items. This is also what the program does without a command."`
+	Check   check   `cmd:"" help:"Check files and tell each fault with its place: the platform's JSON and our YAML."`
+	Try     try     `cmd:"" help:"Start servers with stand-ins on this machine, send ten seconds of work from four tenants, print what came of it."`
+	Version version `cmd:"" help:"Tell the version."`
+}
+
+const about = `An app server that decides which work items it takes, runs and turns away.
+
+First steps: "thistlequay try" needs nothing but this machine. "thistlequay serve --config FILE" serves; SIGTERM has it
+leave, SIGHUP read its files again. Exit codes: 0 all went well, 1 it could not start, failed or found faults, 2 the command
+line is wrong.`
+
+func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// command carries out one command line and gives the exit code.
+func command(args []string, out, errs io.Writer) (code int) {
+	var c commands
+	left := -1
+	parser, err := kong.New(&c, kong.Name("thistlequay"), kong.Description(about), kong.Writers(out, errs),
+		kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}), kong.Exit(func(code int) { left = code }))
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitUsage
+	}
+	line, err := parser.Parse(args)
+	if left >= 0 { // --help has been answered
+		return left
+	}
+	if err != nil {
+		fmt.Fprintf(errs, "thistlequay: %s\nthistlequay --help tells what there is\n", err)
+		return exitUsage
+	}
+	line.BindTo(out, (*io.Writer)(nil))
+	if err := line.Run(); err != nil {
+		if !errors.Is(err, errSaid) {
+			fmt.Fprintf(errs, "thistlequay: %s\n", err)
+		}
+		return exitFailed
+	}
+	return 0
+}
+
+// errSaid is a failure that has been told already.
+var errSaid = errors.New("said")
+
+type serve struct {
+	Config  string      `env:"PROXY_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
+	Service string      `env:"THISTLEQUAY_SERVICE" placeholder:"FILE" help:"Our own settings, YAML; a section a subsystem. Without it all of them are off."`
+	Log     logs.Format `enum:"text,json" default:"text" help:"How log lines look: ${enum}."`
+}
+
+// Run serves until the notice to leave has been carried out.
+func (s *serve) Run() error {
+	log := logs.New(os.Stderr, s.Log)
+	place, err := s.place()
 	if err != nil {
-		fail(err)
+		return said(log, "cannot_start", err)
 	}
-	app := appserver.New(place)
+	app := appserver.New(place, log)
 	leave, again := make(chan os.Signal, 1), make(chan os.Signal, 1) // apart: many of one never crowd out the other
 	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(again, syscall.SIGHUP)
@@ -41,71 +96,101 @@
 	}()
 	go func() {
 		for range again {
-			if place, err := configure(os.Getenv("PROXY_CONFIG")); err != nil {
-				log.Printf("event=configuration_kept reason=%q", err)
+			if place, err := s.place(); err != nil {
+				_ = said(log, "configuration_kept", err)
 			} else {
 				app.Move(place)
 			}
 		}
 	}()
 	if err := app.Run(); errors.Is(err, appserver.ErrLoop) {
-		log.Fatalf("event=failed reason=%q", err)
+		return said(log, "failed", err)
 	} else if err != nil {
-		fail(err)
+		return said(log, "cannot_start", err)
 	}
+	return nil
 }
 
-func fail(err error) {
-	log.Printf("event=cannot_start reason=%q", err)
-	os.Exit(1)
+// said logs each fault as a line of its own.
+func said(log logs.Log, event string, err error) error {
+	for _, f := range faults.Of(err) {
+		log.Event(event).Str("reason", f.Error()).Send()
+	}
+	return errSaid
 }
 
-// configure reads the configuration and applies its limits to the process.
-func configure(path string) (p appserver.Place, err error) {
-	if path == "" {
-		return p, errors.New("PROXY_CONFIG names no configuration")
+// place reads both files: all of what they say takes hold, or nothing.
+func (s *serve) place() (p appserver.Place, err error) {
+	p, err = configure(s.Config)
+	if err != nil {
+		return p, err
 	}
-	text, err := os.ReadFile(path)
+	own, err := service.Read(s.Service)
 	if err != nil {
 		return p, err
 	}
-	var c struct {
-		Name, Listen, VM, Lookup, Index string
-		StopMs                          float64 `json:"stop_ms"`
-		Limits                          struct {
-			Cores    float64
-			MemoryMb float64 `json:"memory_mb"`
-			Sockets  int
+	if err := own.Against(p.Terms); err != nil {
+		return p, err
+	}
+	p.Fair, p.Tenancy = own.FairQueues.Ledger(p.Terms), own.FairQueues.Tenancy()
+	apply(p)
+	return p, nil
+}
+
+type check struct {
+	Files []string `arg:"" name:"FILE" help:"Files that end in .json are the platform's, those in .yaml or .yml ours. Where one of each is given, they are checked against each other."`
+}
+
+// Run checks the files; each fault is a line.
+func (c *check) Run(out io.Writer) error {
+	found := 0
+	tell := func(err error) bool {
+		for _, f := range faults.Of(err) {
+			found++
+			fmt.Fprintln(out, f.Error())
 		}
-		Settings json.RawMessage
+		return err == nil
 	}
-	if err := json.Unmarshal(text, &c); err != nil {
-		return p, fmt.Errorf("the configuration can't be read: %w", err)
+	var places []appserver.Place
+	var own []*service.Terms
+	for _, file := range c.Files {
+		switch {
+		case strings.HasSuffix(file, ".json"):
+			if p, err := configure(file); tell(err) {
+				places = append(places, p)
+			}
+		case strings.HasSuffix(file, ".yaml"), strings.HasSuffix(file, ".yml"):
+			if t, err := service.Read(file); tell(err) {
+				own = append(own, t)
+			}
+		default:
+			tell(faults.List{{File: file, What: "is of no known kind", Want: "a name that ends in .json, .yaml or .yml"}})
+		}
 	}
-	for key, address := range map[string]string{"listen": c.Listen, "vm": c.VM, "lookup": c.Lookup, "index": c.Index} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return p, fmt.Errorf("the configuration's %s is no address: %q", key, address)
+	for _, p := range places {
+		for _, t := range own {
+			tell(t.Against(p.Terms))
 		}
 	}
-	switch {
-	case c.Name == "":
-		return p, errors.New("the configuration gives no name")
-	case !(c.StopMs >= 0 && c.StopMs < 1e9):
-		return p, errors.New("the configuration's stop_ms is out of range")
-	case !(c.Limits.Cores > 0 && c.Limits.Cores < 1e4 && c.Limits.MemoryMb >= 16 && c.Limits.MemoryMb < 1e7):
-		return p, errors.New("the configuration's limits on cores and memory are out of range")
-	case c.Limits.Sockets < leastSockets:
-		return p, fmt.Errorf("the configuration allows %d sockets, at least %d are needed", c.Limits.Sockets, leastSockets)
-	case c.Settings == nil:
-		return p, errors.New("the configuration holds no settings")
+	if found > 0 {
+		fmt.Fprintf(out, "%d faults in %d files\n", found, len(c.Files))
+		return errSaid
 	}
-	terms, err := deployment.Read(c.Settings)
-	if err != nil {
-		return p, err
+	fmt.Fprintf(out, "%d files, no fault\n", len(c.Files))
+	return nil
+}
+
+type version struct{}
+
+// Run tells the version as the build recorded it.
+func (version) Run(out io.Writer) error {
+	info, _ := debug.ReadBuildInfo()
+	revision := "of no recorded revision"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
 	}
-	runtime.GOMAXPROCS(max(1, int(c.Limits.Cores)))
-	debug.SetMemoryLimit(int64(math.Round(c.Limits.MemoryMb * heapPart * (1 << 20))))
-	return appserver.Place{Name: c.Name, Listen: c.Listen, Interpreter: c.VM, Index: c.Index, Directory: c.Lookup,
-		StopIn: deployment.Down(c.StopMs), Sockets: c.Limits.Sockets, Memory: int(c.Limits.MemoryMb) << 20,
-		Terms: terms}, nil
+	_, err := fmt.Fprintf(out, "thistlequay %s, %s\n", revision, info.GoVersion)
+	return err
 }
--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -250,15 +250,15 @@
 	config := r.config
 	for _, s := range []**standIn{&r.vm, &r.index, &r.directory} {
 		to := r.standIn()
-		r.config = strings.Replace(r.config, (*s).address, to.address, 1)
-		(*s).listener.Close()
+		r.config = strings.Replace(r.config, (*s).Address, to.Address, 1)
+		(*s).Listener.Close()
 		*s = to
 	}
 	r.configure()
 	r.NoError(r.process.Process.Signal(syscall.SIGHUP))
 	moved := r.up(v.n)
 	moved.n = v.n
-	_, err := v.in.ReadString(0)
+	_, err := v.In.ReadString(0)
 	r.Error(err) // the old link is closed
 	r.Equal("PUT /dir/nodes/n3 HTTP/1.1", r.line(r.link(r.directory)))
 	r.say(old, "%s HIT 2\r\nok\r", id)
@@ -335,17 +335,14 @@
 
 func TestAnIndexThatIsDown(t *testing.T) {
 	r, v := start(t)
-	r.index.listener.Close()
+	r.index.Listener.Close()
 	c := r.router()
 	id := c.brief(1)
 	v.applied(id, "b")
 	v.await(id, "q")
 	c.answered(1, 500, "")
 	v.value(id, "STOPPED", "")
-	var err error
-	r.index.listener, err = net.Listen("tcp", r.index.address)
-	r.NoError(err)
-	go r.index.accept()
+	r.NoError(r.index.Reopen())
 	id = c.look(2, "l")
 	v.applied(id, "l")
 	v.await(id, "q")
@@ -361,7 +358,7 @@
 		for r.line(d) != "" {
 		}
 		body := make([]byte, len(`{"mode":""}`)+len(mode))
-		_, err := d.in.Read(body)
+		_, err := d.In.Read(body)
 		r.NoError(err)
 		r.Equal(`{"mode":"`+mode+`"}`, string(body))
 	}
@@ -370,7 +367,7 @@
 	report("open")
 	d = r.link(r.directory) // the last report was not answered: a new connection
 	report("open")
-	r.directory.listener.Close()
+	r.directory.Listener.Close()
 	d.Close()
 	c := r.router()
 	v.serves(c, 1, "without a directory")
@@ -458,7 +455,7 @@
 	c.answered(2, 200, "e")
 	go func() { // runs go on to be answered while there is grace
 		for {
-			line, err := v.in.ReadString('\n')
+			line, err := v.In.ReadString('\n')
 			if err != nil {
 				return
 			}
@@ -585,7 +582,7 @@
 	for from, to := range map[string]string{
 		`"name":"n3"`: `"name":""`, `"stop_ms":1500`: `"stop_ms":-1`, `"cores":1.0`: `"cores":0`,
 		`"memory_mb":192`: `"memory_mb":1`, `"sockets":64`: `"sockets":3`, `"Cores":2`: `"Cores":0`,
-		`"MemoryKb":80000.0`: `"MemoryKb":-1`, `"settings":`: `"others":`, r.vm.address: "nowhere", `{"name"`: `"name"`,
+		`"MemoryKb":80000.0`: `"MemoryKb":-1`, `"settings":`: `"others":`, r.vm.Address: "nowhere", `{"name"`: `"name"`,
 		`"OnTime":4000.0`: `"OnTime":1e300`,
 	} {
 		r.config = strings.Replace(good, from, to, 1)
--- a/cmd/thistlequay/standins_test.go
+++ b/cmd/thistlequay/standins_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/base64"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,13 +10,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/standin"
 )
 
 // The stand-ins speak as their protocol pages say and do only what a test has them do. Nothing here sleeps: all
@@ -57,46 +57,29 @@
 	listen    string
 	config    string
 	path      string
+	args      []string // of the program
+	service   string   // our own settings; none where empty
 	process   *exec.Cmd
-	log       *bytes.Buffer
+	log       *lines
 	ended     chan struct{}
 	ids       int
 }
 
-// standIn accepts connections and hands out what comes on them as lines.
-type standIn struct {
-	listener net.Listener
-	address  string
-	links    chan *link
-}
-
-type link struct {
-	net.Conn
-	in *bufio.Reader
-}
+type (
+	standIn = standin.Listener
+	link    = standin.Link
+)
 
 func (r *rig) standIn() *standIn {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.Listen()
 	r.NoError(err)
-	s := &standIn{listener: l, address: l.Addr().String(), links: make(chan *link, 64)}
-	r.t.Cleanup(func() { l.Close() })
-	go s.accept()
+	r.t.Cleanup(func() { s.Close() })
 	return s
 }
 
-func (s *standIn) accept() {
-	for l := s.listener; ; {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		s.links <- &link{c, bufio.NewReader(c)}
-	}
-}
-
 func (r *rig) link(s *standIn) *link {
 	select {
-	case l := <-s.links:
+	case l := <-s.Links:
 		l.SetDeadline(time.Now().Add(patience))
 		r.t.Cleanup(func() { l.Close() })
 		return l
@@ -107,7 +90,7 @@
 }
 
 func (r *rig) line(l *link) string {
-	text, err := l.in.ReadString('\n')
+	text, err := l.In.ReadString('\n')
 	r.NoError(err)
 	return strings.TrimRight(text, "\r\n")
 }
@@ -129,25 +112,39 @@
 func prepare(t *testing.T) *rig {
 	r := &rig{Assertions: require.New(t), t: t}
 	r.vm, r.index, r.directory = r.standIn(), r.standIn(), r.standIn()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	r.listen, err = standin.Free()
 	r.NoError(err)
-	r.listen = free.Addr().String()
-	free.Close()
 	r.config = fmt.Sprintf(`{"name":"n3","listen":%q,"vm":%q,"lookup":%q,"index":%q,"seed":"8c1f30d27a5be964",
 "stop_ms":1500,"limits":{"cores":1.0,"memory_mb":192,"sockets":64},"settings":%s}`,
-		r.listen, r.vm.address, r.directory.address, r.index.address, settings)
+		r.listen, r.vm.Address, r.directory.Address, r.index.Address, settings)
 	return r
 }
 
-func (r *rig) configure() { r.NoError(os.WriteFile(r.path, []byte(r.config), 0o600)) }
+func (r *rig) configure() {
+	r.NoError(os.WriteFile(r.path, []byte(r.config), 0o600))
+	r.NoError(os.WriteFile(r.path+".yaml", []byte(r.service), 0o600))
+}
+
+// again has the program read its files again and waits until it has said what became of that.
+func (r *rig) again() {
+	said := func() int { return strings.Count(logOf(r), "event=configuration_") }
+	before := said()
+	r.configure()
+	r.NoError(r.process.Process.Signal(syscall.SIGHUP))
+	r.Eventually(func() bool { return said() > before }, patience, time.Millisecond)
+}
 
 func (r *rig) run() {
 	r.path = filepath.Join(r.t.TempDir(), "config.json")
 	r.configure()
 	program, err := os.Executable()
 	r.NoError(err)
-	process, log, ended := exec.Command(program), &bytes.Buffer{}, make(chan struct{})
+	process, log, ended := exec.Command(program, r.args...), &lines{}, make(chan struct{})
 	process.Env = append(os.Environ(), asProgram+"=1", "PROXY_CONFIG="+r.path)
+	if r.service != "" {
+		process.Env = append(process.Env, "THISTLEQUAY_SERVICE="+r.path+".yaml")
+	}
 	process.Stdout, process.Stderr = log, log
 	r.NoError(process.Start())
 	r.process, r.log, r.ended = process, log, ended
@@ -163,6 +160,26 @@
 	})
 }
 
+// lines is a log that is read while it is written.
+type lines struct {
+	lock sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.text.String()
+}
+
+func logOf(r *rig) string { return r.log.String() }
+
 // exit waits for the program's end and gives its code and log.
 func (r *rig) exit() (int, string) {
 	select {
@@ -249,7 +266,7 @@
 	}, patience, 5*time.Millisecond)
 	c.SetDeadline(time.Now().Add(patience))
 	r.t.Cleanup(func() { c.Close() })
-	return &router{r, &link{c, bufio.NewReader(c)}}
+	return &router{r, standin.NewLink(c)}
 }
 
 // id is a new try's.
@@ -258,33 +275,12 @@
 	return fmt.Sprintf("%016x", 0xabc0000+r.ids)
 }
 
-func fields(id string) map[string]string {
-	return map[string]string{"HTTP_REQUEST_ID": id, "HTTP_RECEIVED_AT": strconv.FormatInt(time.Now().UnixMilli(), 10),
-		"HTTP_SENT_BY": "1", "HTTP_ACCOUNT": "acme", "HTTP_BUDGET_MS": "7000", "HTTP_FOOTPRINT_KB": "24.5",
-		"HTTP_PRIORITY_RANK": "0.6250", "REQUEST_METHOD": "POST"}
-}
+func fields(id string) map[string]string { return standin.Fields(id, "acme", 7*time.Second) }
 
-func fcgi(kind byte, slot uint16, content string) []byte {
-	head := []byte{1, kind, byte(slot >> 8), byte(slot), byte(len(content) >> 8), byte(len(content)), 0, 0}
-	return append(head, content...)
-}
+func fcgi(kind byte, slot uint16, content string) []byte { return standin.Record(kind, slot, content) }
 
 func (c *router) ask(slot uint16, path, body string, with map[string]string) {
-	var params strings.Builder
-	put := func(name, value string) {
-		params.Write([]byte{byte(len(name)), byte(len(value))})
-		params.WriteString(name + value)
-	}
-	put("SCRIPT_NAME", path)
-	for name, value := range with {
-		put(name, value)
-	}
-	data := fcgi(1, slot, "\x00\x01\x01\x00\x00\x00\x00\x00")
-	data = append(append(data, fcgi(4, slot, params.String())...), fcgi(4, slot, "")...)
-	if body != "" {
-		data = append(data, fcgi(5, slot, body)...)
-	}
-	_, err := c.Write(append(data, fcgi(5, slot, "")...))
+	_, err := c.Write(standin.Request(slot, path, body, with))
 	c.r.NoError(err)
 }
 
@@ -312,23 +308,9 @@
 
 // answer gives the next answer on the connection: its slot, status, headers and body.
 func (c *router) answer() (slot uint16, status int, headers, body string) {
-	var out []byte
-	for {
-		head := make([]byte, 8)
-		_, err := io.ReadFull(c.in, head)
-		c.r.NoError(err)
-		content := make([]byte, int(binary.BigEndian.Uint16(head[4:]))+int(head[6]))
-		_, err = io.ReadFull(c.in, content)
-		c.r.NoError(err)
-		if head[1] == 6 {
-			out = append(out, content...)
-			continue
-		}
-		c.r.Equal(byte(3), head[1])
-		headers, body, _ = strings.Cut(string(out), "\r\n\r\n")
-		fmt.Sscanf(headers, "Status: %d", &status)
-		return binary.BigEndian.Uint16(head[2:]), status, headers, body
-	}
+	a, err := c.Answer()
+	c.r.NoError(err)
+	return a.Slot, a.Status, a.Headers, a.Body
 }
 
 // answered checks the next answer.
@@ -349,7 +331,7 @@
 func (c *router) over() { c.r.over(c.link) }
 
 func (r *rig) over(l *link) {
-	_, err := io.Copy(io.Discard, l.in)
+	_, err := io.Copy(io.Discard, l.In)
 	if err != nil {
 		r.ErrorIs(err, syscall.ECONNRESET)
 	}
--- a/internal/appserver/index.go
+++ b/internal/appserver/index.go
@@ -59,7 +59,7 @@
 
 // make makes the call that a run waits for. The index holds no time limit, so it is given up here.
 func (x *index) make(it *item, until admission.Tenths) {
-	must(it.call == nil && it.begun && !it.ended, "a call beside another or without a run")
+	it.app.must(it.call == nil && it.begun && !it.ended, "a call beside another or without a run")
 	c := &call{it: it, made: x.app.now, until: until}
 	c.limit.ring = func() { x.end(c, x.leave(c)) }
 	it.call = c
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -8,7 +8,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"errors"
-	"log"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -99,7 +98,7 @@
 // starts nothing where that is over. One with effects is left to its time where it went out long before.
 func (l *interpreter) lost() {
 	if l.up {
-		log.Printf("event=interpreter_lost after_notice=%d in_hand=%d", l.last, l.app.items.inHand())
+		l.app.log.Event("interpreter_lost").Uint64("after_notice", l.last).Int("in_hand", l.app.items.inHand()).Send()
 	}
 	l.conn, l.up = nil, false
 	if l.out != nil {
@@ -165,6 +164,7 @@
 
 // goOn passes the reply to a run's call on.
 func (l *interpreter) goOn(it *item, reply []byte) {
+	it.claim.Resumed(l.app.now)
 	if it.toGoOn = nil; l.up {
 		it.reply, it.repliedAt = reply, l.app.now
 		l.out = withData(l.command("RESOLVE", it), reply)
@@ -275,13 +275,14 @@
 	case "AWAIT":
 		if it != nil && it.begun && !it.ended {
 			it.heard, it.doubt, it.asks = true, false, n.Data
+			it.claim.Called(l.app.now)
 			it.handle.AtCall()
 		}
 	case "TOPS":
 		return l.tops(n.Ref, n.Gauges)
 	case "ERROR":
 		if often(&l.errs) {
-			log.Printf("event=interpreter_error command=%s id=%s count=%d", n.State, n.Job, l.errs)
+			l.app.log.Event("interpreter_error").Str("command", n.State).Str("id", n.Job).Int("count", l.errs).Send()
 		}
 		if it != nil && it.begun && n.State == "APPLY" {
 			it.neverBegun()
@@ -306,12 +307,12 @@
 		terms.EntryKb, terms.Entries = 0, max(1, a.place.Memory/stampsPart/stampSize)
 		a.server = admission.New(terms, &a.items, a.now-since)
 		a.server.At(a.now)
-		log.Printf("event=interpreter_up name=%s state=%s since_ms=%d", a.place.Name, state, since/10)
+		a.log.Event("interpreter_up").Str("name", a.place.Name).Str("state", state).Int64("since_ms", int64(since/10)).Send()
 		a.tellLeave()
 		l.ready()
 		return
 	}
-	log.Printf("event=interpreter_back name=%s links=%d", a.place.Name, l.links)
+	a.log.Event("interpreter_back").Str("name", a.place.Name).Int("links", l.links).Send()
 	l.fence = l.question()
 }
 
--- a/internal/appserver/invariant_release.go
+++ b/internal/appserver/invariant_release.go
@@ -4,12 +4,8 @@
 // logged, each count that is a power of two. It must never stop the program.
 package appserver
 
-import "log"
-
-func must(holds bool, what string) {
-	if !holds {
-		if often(&broken) {
-			log.Printf("event=invariant_broken what=%q count=%d", what, broken)
-		}
+func (a *App) must(holds bool, what string) {
+	if !holds && often(&a.broken) {
+		a.log.Event("invariant_broken").Str("what", what).Int("count", a.broken).Send()
 	}
 }
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -6,12 +6,12 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"log"
 	"strconv"
 
 	"thistlequay/admission"
 	"thistlequay/internal/deployment"
 	"thistlequay/internal/fastcgi"
+	"thistlequay/ledger"
 )
 
 const (
@@ -49,6 +49,7 @@
 	key       []byte // as it came, good while it is taken
 	body      []byte
 	taken     admission.Tenths
+	claim     ledger.Claim
 	stamp     *stamp // its own, or the one it shares
 	shares    bool
 	begun     bool // the module had it run
@@ -95,7 +96,7 @@
 // take reads a whole request. One that cannot be a work item is answered with a status that says why.
 func (t *items) take(c *router, s *fastcgi.Stream) {
 	a := t.app
-	it, arrival, reached, status := t.read(s)
+	it, arrival, reached, tenant, status := t.read(c, s)
 	if status == "" && a.server == nil {
 		c.answer(s, "503 Starting", "", nil)
 		return
@@ -116,11 +117,15 @@
 	}
 	if status != "" {
 		if often(&t.refused) {
-			log.Printf("event=unusable_request status=%q count=%d", status, t.refused)
+			a.log.Event("unusable_request").Str("status", status).Int("count", t.refused).Send()
 		}
 		c.answer(s, status, "", nil)
 		return
 	}
+	if a.ledger != nil {
+		it.claim = a.ledger.Open(tenant, it.category, a.server.Turn(), a.now)
+		arrival.Turn, arrival.Behind = it.claim.Turn, it.claim.Behind
+	}
 	it.app, it.conn, it.stream, it.taken = a, c, s, a.now
 	it.body, s.Mark, it.key = bytes.Clone(s.Body), it, nil // a buffer is much larger
 	if s.Body != nil {
@@ -145,7 +150,7 @@
 	it.handle = a.server.Take(arrival)
 	if key != "" && !it.shares && !it.over && it.conn != nil {
 		if before := t.stamps[key]; before != nil { // the module had it take the place of the one held
-			must(!before.ran, "a stamp that ran is replaced")
+			t.app.must(!before.ran, "a stamp that ran is replaced")
 			t.drop(before)
 		}
 		m := &stamp{key: key, body: print, owner: it, until: never}
@@ -167,10 +172,12 @@
 	fieldHeld
 	fieldRank
 	fieldKey
+	fieldRemote
 )
 
 var fieldNames = []string{"SCRIPT_NAME", "REQUEST_METHOD", "CONTENT_LENGTH", "HTTP_REQUEST_ID", "HTTP_RECEIVED_AT",
-	"HTTP_SENT_BY", "HTTP_ACCOUNT", "HTTP_BUDGET_MS", "HTTP_FOOTPRINT_KB", "HTTP_PRIORITY_RANK", "HTTP_ONCE_KEY"}
+	"HTTP_SENT_BY", "HTTP_ACCOUNT", "HTTP_BUDGET_MS", "HTTP_FOOTPRINT_KB", "HTTP_PRIORITY_RANK", "HTTP_ONCE_KEY",
+	"REMOTE_ADDR"}
 
 const tooLong = "413 Body too long"
 
@@ -182,70 +189,74 @@
 
 // read makes an arrival of the parameters, or gives the status that tells what is wrong with them. What the settings
 // name is the measure: nothing that they do not know, or that no router could mean, reaches the module.
-func (t *items) read(s *fastcgi.Stream) (it *item, arrival admission.Arrival, reached admission.Tenths, bad string) {
+func (t *items) read(c *router, s *fastcgi.Stream) (it *item, arrival admission.Arrival, reached admission.Tenths,
+	tenant []byte, bad string) {
 	terms := t.app.place.Terms
-	var f [fieldKey + 1][]byte
+	var f [fieldRemote + 1][]byte
 	twice := s.Fields(fieldNames, f[:])
 	it = &item{id: string(f[fieldID])}
 	path, isPath := bytes.CutPrefix(f[fieldPath], []byte("/rpc/"))
 	if !isPath {
-		return it, arrival, 0, "404 Unknown path"
+		return it, arrival, 0, nil, "404 Unknown path"
 	}
 	category, known := terms.Named[string(path)]
 	if !known {
-		return it, arrival, 0, "404 Unknown category"
+		return it, arrival, 0, nil, "404 Unknown category"
 	}
 	if string(f[fieldMethod]) != "POST" {
-		return it, arrival, 0, "405 Method"
+		return it, arrival, 0, nil, "405 Method"
 	}
 	if len(s.Body) > mostBody {
-		return it, arrival, 0, tooLong
+		return it, arrival, 0, nil, tooLong
 	}
 	if length := f[fieldLength]; len(length) > 0 && string(length) != strconv.Itoa(len(s.Body)) {
-		return it, arrival, 0, "400 Content-Length"
+		return it, arrival, 0, nil, "400 Content-Length"
 	}
 	if twice {
-		return it, arrival, 0, "400 A field came twice"
+		return it, arrival, 0, nil, "400 A field came twice"
 	}
 	of := &terms.Categories[category]
 	it.category, arrival.Category = category, category
 	if _, err := strconv.ParseUint(it.id, 16, 64); err != nil || len(it.id) != 16 {
-		return it, arrival, 0, "400 Request-Id is not 16 hex digits"
+		return it, arrival, 0, nil, "400 Request-Id is not 16 hex digits"
 	}
 	if t.byID[it.id] != nil {
-		return it, arrival, 0, "400 Request-Id is in hand already"
+		return it, arrival, 0, nil, "400 Request-Id is in hand already"
 	}
 	stampedAt, err := strconv.ParseInt(string(f[fieldReached]), 10, 64)
 	if now := int64(t.app.now / 10); err != nil || stampedAt < 0 || stampedAt > now+ahead {
-		return it, arrival, 0, "400 Received-At"
+		return it, arrival, 0, nil, "400 Received-At"
 	}
 	budget, ok := number(f[fieldBudget], 0, float64(of.Expiry)/10*budgets)
 	if !ok {
-		return it, arrival, 0, "400 Budget-Ms"
+		return it, arrival, 0, nil, "400 Budget-Ms"
 	}
 	caller, err := strconv.ParseUint(string(f[fieldCaller]), 10, 20)
 	if err != nil {
-		return it, arrival, 0, "400 Sent-By"
+		return it, arrival, 0, nil, "400 Sent-By"
 	}
 	held, ok := number(f[fieldHeld], 0, 2000)
 	if !ok || held == 0 {
-		return it, arrival, 0, "400 Footprint-Kb"
+		return it, arrival, 0, nil, "400 Footprint-Kb"
 	}
 	if _, ok = number(f[fieldRank], 0, 1); !ok {
-		return it, arrival, 0, "400 Priority-Rank"
+		return it, arrival, 0, nil, "400 Priority-Rank"
 	}
 	if !terms.Tenant(f[fieldTenant]) {
-		return it, arrival, 0, "400 Account"
+		return it, arrival, 0, nil, "400 Account"
 	}
 	if n := len(f[fieldKey]); of.Effect == admission.Stamped && n == 0 || n > mostKey {
-		return it, arrival, 0, "400 Once-Key"
+		return it, arrival, 0, nil, "400 Once-Key"
 	}
 	it.key = f[fieldKey]
 	reached = admission.Tenths(stampedAt * 10)
 	arrival.Caller, arrival.HeldKb = int(caller), held
 	arrival.Unread = max(0, t.app.now-reached)
 	arrival.Left = max(1, reached+deployment.Down(budget)-t.app.now) // told, however little
-	return it, arrival, reached, ""
+	if tenant = f[fieldTenant]; t.app.place.Tenancy != nil {
+		tenant = []byte(t.app.place.Tenancy.Tenant(c.peerAddress(), f[fieldRemote]))
+	}
+	return it, arrival, reached, tenant, ""
 }
 
 func (t *items) drop(m *stamp) {
@@ -294,7 +305,7 @@
 	if it.conn == nil {
 		return
 	}
-	must(it.stream.Mark == it, "answered twice")
+	it.app.must(it.stream.Mark == it, "answered twice")
 	conn, stream := it.conn, it.stream
 	it.leave()
 	conn.answer(stream, status, headers, body)
@@ -324,6 +335,7 @@
 	if m := it.stamp; m != nil && m.owner == it && !it.ended {
 		m.ran = false
 	}
+	it.claim.Undone(it.app.now)
 	it.runEnded(admission.NeverBegun, 0, nil)
 }
 
@@ -359,10 +371,11 @@
 
 func (t *items) Run(w *admission.WorkItem) {
 	it := t.of(w)
-	must(!it.begun && !it.shares, "run twice")
+	t.app.must(!it.begun && !it.shares, "run twice")
 	it.begun = true
+	it.claim.Began(t.app.now)
 	if it.stamp != nil {
-		must(!it.stamp.ran, "a stamp runs twice")
+		t.app.must(!it.stamp.ran, "a stamp runs twice")
 		it.stamp.ran = true
 	}
 	t.app.interpreter.run(it)
@@ -371,6 +384,7 @@
 func (t *items) Share(w *admission.WorkItem) {
 	it := t.of(w)
 	it.shares = true
+	it.claim.Close(t.app.now) // the run that it shares is charged, and once
 	if m := it.stamp; m.ended || m.owner == nil {
 		t.due = append(t.due, it)
 	} else {
@@ -380,8 +394,11 @@
 
 func (t *items) Decline(w *admission.WorkItem, stayAway admission.Tenths, nowhereElse bool) {
 	it := t.of(w)
-	must(!it.begun && it.conn != nil, "declined after its run or its answer")
+	t.app.must(!it.begun && it.conn != nil, "declined after its run or its answer")
 	headers := ""
+	if t.app.stop == never {
+		stayAway = it.claim.Return(stayAway, t.app.place.Terms.MaxAway, t.app.now)
+	}
 	if stayAway > 0 {
 		headers = "Back-Off-Ms: " + strconv.FormatInt(int64((stayAway+9)/10), 10) + "\r\n"
 	}
@@ -393,7 +410,7 @@
 
 func (t *items) BreakOff(w *admission.WorkItem) {
 	it := t.of(w)
-	must(it.conn != nil, "broken off after its answer")
+	t.app.must(it.conn != nil, "broken off after its answer")
 	it.answer("500 Broken off", "", nil)
 }
 
@@ -410,7 +427,7 @@
 
 func (t *items) Forget(w *admission.WorkItem) {
 	if it := t.of(w); it.stamp != nil && it.stamp.owner == it {
-		must(!it.stamp.ran, "a stamp that ran is forgotten")
+		t.app.must(!it.stamp.ran, "a stamp that ran is forgotten")
 		t.drop(it.stamp)
 	}
 }
@@ -418,7 +435,8 @@
 func (t *items) Over(w *admission.WorkItem) {
 	it := t.of(w)
 	it.over = true
-	must(it.conn == nil, "over without an answer")
+	it.claim.Close(t.app.now)
+	t.app.must(it.conn == nil, "over without an answer")
 	if m := it.stamp; m != nil && m.owner == it {
 		if m.owner = nil; !m.ran {
 			t.drop(m)
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"thistlequay/admission"
 	"thistlequay/internal/deployment"
+	"thistlequay/internal/logs"
 )
 
 const job = "00000000000000aa"
@@ -19,7 +21,7 @@
 "Window":5000,"Worth":1}],"FamilyInfo":{"CallShare":9,"CallsOver":5000,"Cores":2,"Downstream":"common","MemoryKb":80000,
 "Meters":["core_use","on_cores"],"RunFactor":8,"Halt":"drop"},"Servers":1,"Rules":{"TipMultiple":8}}`))
 	require.NoError(t, err)
-	a := New(Place{Name: "n", Sockets: 64, Memory: 64 << 20, Terms: terms})
+	a := New(Place{Name: "n", Sockets: 64, Memory: 64 << 20, Terms: terms}, logs.New(io.Discard, logs.Text))
 	a.now = 10_000_000
 	require.NoError(t, a.interpreter.traffic([]byte(`{"type":"BANNER","state":"WARM","took":1}`+"\n")))
 	c := &router{wire: wire{app: a}}
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -9,9 +9,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
 	"math/bits"
+	"math/rand"
 	"net"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -19,9 +20,13 @@
 
 	"github.com/panjf2000/gnet/v2"
 	gerrors "github.com/panjf2000/gnet/v2/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"thistlequay/admission"
 	"thistlequay/internal/deployment"
+	"thistlequay/internal/logs"
+	"thistlequay/internal/tenancy"
+	"thistlequay/ledger"
 )
 
 // Place is where an app server stands and what it may use.
@@ -31,6 +36,10 @@
 	Sockets                                     int              // descriptors it may hold
 	Memory                                      int              // bytes
 	Terms                                       *deployment.Terms
+	Cores                                       float64 // of the machine, for this process
+	Seed                                        int64
+	Fair                                        *ledger.Terms  // nil: no fair queues
+	Tenancy                                     *tenancy.Table // nil: tenants go by account
 }
 
 const (
@@ -53,6 +62,8 @@
 	thread gnet.EventLoop
 
 	server   *admission.Server // nil until the interpreter is up
+	ledger   *ledger.Ledger    // nil where no queues are fair
+	chance   *rand.Rand
 	now      admission.Tenths
 	queued   bool               // a flush is on its way
 	dirty    []*wire            // what has output for the end of the batch
@@ -77,12 +88,16 @@
 	unread      int  // and for what lay on them unread
 	unreached   int  // dials that failed
 	state       alarm
+	log         logs.Log
+	broken      int // what had to hold and did not
 }
 
 // New makes an app server; Run starts it.
-func New(p Place) *App {
-	a := &App{place: p, armed: never, stop: never, orders: make(chan func(), 8), unreadOn: map[*wire]struct{}{}}
+func New(p Place, l logs.Log) *App {
+	a := &App{place: p, log: l, armed: never, stop: never, orders: make(chan func(), 8), unreadOn: map[*wire]struct{}{}}
+	a.chance = rand.New(rand.NewSource(p.Seed))
 	a.pool.bound(p.Memory)
+	a.fair()
 	a.index.start(a)
 	a.routers.start(a)
 	a.items.start(a)
@@ -91,6 +106,23 @@
 	return a
 }
 
+// fair opens, changes or closes the books on tenants. Claims that are open end on the books that they began on.
+func (a *App) fair() {
+	switch t := a.place.Fair; {
+	case t == nil:
+		a.ledger = nil
+	case a.ledger == nil:
+		of := *t
+		of.Cores, of.Contracts = a.place.Terms.Cores, nil
+		for _, c := range a.place.Terms.Categories {
+			of.Contracts = append(of.Contracts, c.Contract)
+		}
+		a.ledger = ledger.New(of, a.chance, clock())
+	default:
+		a.ledger.Change(*t, a.now)
+	}
+}
+
 // ErrLoop is what Run gives where the loop ended though nobody asked for it.
 var ErrLoop = errors.New("the loop ended by itself")
 
@@ -104,7 +136,7 @@
 	l.Close()
 	err = gnet.Run(a, "tcp://"+a.place.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithReadBufferCap(1<<16), gnet.WithWriteBufferCap(bufferSize),
-		gnet.WithLogger(engineLog{}))
+		gnet.WithLogger(engineLog{a.log}))
 	if err == nil && !a.ending {
 		err = ErrLoop
 	}
@@ -159,7 +191,7 @@
 	a.event()
 	if err := p.traffic(data); err != nil {
 		if err != errDone && often(&a.bad) {
-			log.Printf("event=bad_peer peer=%s local=%s reason=%q count=%d", c.RemoteAddr(), c.LocalAddr(), err, a.bad)
+			a.log.Event("bad_peer").Stringer("peer", c.RemoteAddr()).Stringer("local", c.LocalAddr()).Str("reason", err.Error()).Int("count", a.bad).Send()
 		}
 		return gnet.Close
 	}
@@ -190,7 +222,7 @@
 	a.directory.report()
 	a.state.ring = a.tell
 	a.set(&a.state, a.now+stateEvery)
-	log.Printf("event=listening name=%s address=%s connections=%d", a.place.Name, a.place.Listen, a.routers.most)
+	a.log.Event("listening").Str("name", a.place.Name).Str("address", a.place.Listen).Int("connections", a.routers.most).Send()
 }
 
 // do has the loop do something; it may be called from anywhere.
@@ -331,7 +363,7 @@
 		return
 	}
 	left := max(0, a.place.StopIn-min(leaveEarly, a.place.StopIn/4))
-	log.Printf("event=leaving name=%s within_ms=%d in_hand=%d", a.place.Name, left/10, a.items.inHand())
+	a.log.Event("leaving").Str("name", a.place.Name).Int64("within_ms", int64(left/10)).Int("in_hand", a.items.inHand()).Send()
 	a.stop = a.now + left
 	a.tellLeave()
 	a.directory.report()
@@ -352,10 +384,15 @@
 		}
 	}
 	slices.Sort(kept)
-	log.Printf("event=configuration_read name=%s vm=%s index=%s lookup=%s kept_as_it_was=%q", a.place.Name, p.Interpreter,
-		p.Index, p.Directory, strings.Join(kept, " "))
+	a.log.Event("configuration_read").Str("name", a.place.Name).Str("vm", p.Interpreter).Str("index", p.Index).
+		Str("lookup", p.Directory).Str("kept_as_it_was", strings.Join(kept, " ")).Send()
 	before := a.place
 	a.place.Interpreter, a.place.Index, a.place.Directory = p.Interpreter, p.Index, p.Directory
+	if !reflect.DeepEqual(p.Fair, before.Fair) {
+		a.place.Fair = p.Fair
+		a.fair()
+	}
+	a.place.Tenancy = p.Tenancy
 	if before.Interpreter != p.Interpreter {
 		a.interpreter.move()
 	}
@@ -375,16 +412,20 @@
 
 // tell logs how it stands, now and then.
 func (a *App) tell() {
-	log.Printf("event=state in_hand=%d connections=%d stamps=%d calls=%d gauges_age_ms=%d timer_late_ms=%d links=%d "+
-		"reports_missed=%d bad_peers=%d unread_closed=%d evicted=%d", a.items.inHand(), a.routers.open, len(a.items.stamps),
-		a.index.out, a.interpreter.ages.most()/10, a.late.most()/10, a.interpreter.links, a.directory.missed, a.bad, a.unread,
-		a.routers.evicted)
+	a.log.Event("state").Int("in_hand", a.items.inHand()).Int("connections", a.routers.open).Int("stamps", len(a.items.stamps)).
+		Int("calls", a.index.out).Int64("gauges_age_ms", int64(a.interpreter.ages.most()/10)).
+		Int64("timer_late_ms", int64(a.late.most()/10)).Int("links", a.interpreter.links).
+		Int("reports_missed", a.directory.missed).Int("bad_peers", a.bad).Int("unread_closed", a.unread).
+		Int("evicted", a.routers.evicted).Func(func(e *zerolog.Event) {
+		if a.ledger != nil {
+			f := a.ledger.Figures()
+			e.Int("fair_books", f.Books).Int("fair_groups", f.Groups).Int("fair_candidates", f.Heard).
+				Int("fair_core_percent", int(100*f.Rate))
+		}
+	}).Send()
 	a.set(&a.state, a.now+stateEvery)
 }
 
-// broken counts what had to hold and did not.
-var broken int
-
 // often counts and says whether that is worth a line in the log: at each power of two.
 func often(count *int) bool {
 	*count++
@@ -420,7 +461,7 @@
 }
 
 func (a *App) end() {
-	log.Printf("event=ended name=%s in_hand=%d broken_invariants=%d", a.place.Name, a.items.inHand(), broken)
+	a.log.Event("ended").Str("name", a.place.Name).Int("in_hand", a.items.inHand()).Int("broken_invariants", a.broken).Send()
 	a.ending = true
 }
 
@@ -457,7 +498,7 @@
 		return
 	}
 	if often(&d.app.unreached) {
-		log.Printf("event=not_reached address=%s reason=%q count=%d", address, err, d.app.unreached)
+		d.app.log.Event("not_reached").Str("address", address).Str("reason", err.Error()).Int("count", d.app.unreached).Send()
 	}
 	d.failed()
 }
@@ -501,16 +542,17 @@
 }
 
 // engineLog passes on what gnet has to say that matters.
-type engineLog struct{}
+type engineLog struct{ logs.Log }
 
-func (engineLog) Debugf(string, ...any) {}
-func (engineLog) Infof(string, ...any)  {}
-func (engineLog) Warnf(f string, args ...any) {
-	log.Printf("event=engine_warning text=%q", fmt.Sprintf(f, args...))
+func (engineLog) Debugf(string, ...any)          {}
+func (engineLog) Infof(string, ...any)           {}
+func (l engineLog) Warnf(f string, args ...any)  { l.say("engine_warning", f, args) }
+func (l engineLog) Errorf(f string, args ...any) { l.say("engine_error", f, args) }
+func (l engineLog) Fatalf(f string, args ...any) {
+	l.say("engine_fatal", f, args)
+	os.Exit(1)
 }
-func (engineLog) Errorf(f string, args ...any) {
-	log.Printf("event=engine_error text=%q", fmt.Sprintf(f, args...))
-}
-func (engineLog) Fatalf(f string, args ...any) {
-	log.Fatalf("event=engine_fatal text=%q", fmt.Sprintf(f, args...))
+
+func (l engineLog) say(event, f string, args []any) {
+	l.Event(event).Str("text", fmt.Sprintf(f, args...)).Send()
 }
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -5,7 +5,8 @@
 
 import (
 	"container/list"
-	"log"
+	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -50,7 +51,16 @@
 	spot   *list.Element // in the list of fresh or of idle ones
 	since  admission.Tenths
 	limit  alarm
-	stuck  bool // it was so at the limit before, and no request has come whole since
+	peer   netip.Addr // the other end, read where tenants go by it
+	stuck  bool       // it was so at the limit before, and no request has come whole since
+}
+
+// peerAddress is that of the other end.
+func (c *router) peerAddress() netip.Addr {
+	if a, is := c.conn.RemoteAddr().(*net.TCPAddr); is && !c.peer.IsValid() {
+		c.peer = a.AddrPort().Addr()
+	}
+	return c.peer
 }
 
 // accept makes room for a newcomer where the table is full: silent connections and such as asked once and stay must
@@ -60,12 +70,12 @@
 		c := r.leastClaim()
 		if c == nil {
 			if often(&r.full) {
-				log.Printf("event=table_full connections=%d turned_away=%d", r.open, r.full)
+				r.app.log.Event("table_full").Int("connections", r.open).Int("turned_away", r.full).Send()
 			}
 			return nil
 		}
 		if often(&r.evicted) {
-			log.Printf("event=made_room connections=%d closed=%d", r.open, r.evicted)
+			r.app.log.Event("made_room").Int("connections", r.open).Int("closed", r.evicted).Send()
 		}
 		c.shut()
 	}
@@ -121,7 +131,7 @@
 	switch partial := c.parser.Partial(); {
 	case c.parser.Open() == 0 && (!c.asked || partial && c.stuck):
 		if often(&c.app.routers.slow) {
-			log.Printf("event=not_whole_in_time count=%d", c.app.routers.slow)
+			c.app.log.Event("not_whole_in_time").Int("count", c.app.routers.slow).Send()
 		}
 		c.buffer()
 		c.after = true
--- a/internal/appserver/sequence_test.go
+++ b/internal/appserver/sequence_test.go
@@ -38,7 +38,7 @@
 	for _, c := range conns {
 		c.conn = nowhere{}
 	}
-	ids, notices, before := 0, 0, broken
+	ids, notices, before := 0, 0, a.broken
 	keys, reached := map[string]byte{job: 'k'}, map[string]admission.Tenths{job: a.now} // by id
 	runs, ran := map[string]bool{}, map[byte]admission.Tenths{}                         // by id; by key, when its try came
 	hear := func(format string, args ...any) {
@@ -162,7 +162,7 @@
 	for _, c := range conns {
 		require.Zero(t, c.parser.Open(), "requests without an answer")
 	}
-	require.Equal(t, before, broken)
+	require.Equal(t, before, a.broken)
 }
 
 func FuzzSequences(f *testing.F) {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -4,19 +4,22 @@
 package deployment
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"thistlequay/admission"
+	"thistlequay/internal/faults"
+	"thistlequay/ledger"
 )
 
 // Terms are what one server is told when it starts.
 type Terms struct {
 	admission.Deployment
-	Named   map[string]int // categories by name
+	Named   map[string]int  // categories by name
+	Shares  []ledger.Tenant // of the tenants that are told with one
 	tenants map[string]bool
 	rows    []func(*admission.Gauges) *float64
 }
@@ -24,7 +27,8 @@
 // most is more than any figure can mean: thirty years in milliseconds.
 const most = 1e12
 
-// Read makes Terms of the object. Keys that are not known here are passed over.
+// Read makes Terms of the object. Keys that are not known here are passed over; a word that bears on a rule and is not
+// known, and figures that can't all be meant, are faults with their paths (faults.List).
 func Read(text []byte) (*Terms, error) {
 	var env struct {
 		Categories []struct {
@@ -46,27 +50,83 @@
 		}
 		Period  float64
 		Servers int
-		Tenants []struct{ Name string }
-		Rules   struct {
+		Tenants []struct {
+			Name  string
+			Share float64
+		}
+		Rules struct {
 			Cold, ColdFrom, DrainGrace, TipMultiple float64
 		}
 	}
-	if err := json.Unmarshal(text, &env); err != nil {
-		return nil, fmt.Errorf("the settings can't be read: %w", err)
+	if err := faults.JSON(text, &env); err != nil {
+		return nil, err
 	}
 	info, rules := &env.FamilyInfo, &env.Rules
-	if len(env.Categories) == 0 || info.Cores < 1 {
-		return nil, errors.New("the settings name no category or no core")
+	var l faults.List
+	if len(env.Categories) == 0 {
+		l.Add("Categories", "at least one category", "there is none")
+	}
+	if info.Cores < 1 {
+		l.Add("FamilyInfo.Cores", "at least one core", "%d", info.Cores)
+	}
+	figure := func(path string, v float64) {
+		if !(v >= 0 && v <= most) {
+			l.Add(path, "from 0 to 1e12", "%v is out of range", v)
+		}
+	}
+	word := func(path, v string, known []string) {
+		if v != "" && !slices.Contains(known, v) {
+			l.Add(path, "one of "+strings.Join(known, ", "), "%q is not known", v)
+		}
 	}
-	figures := []float64{info.CallShare, info.CallsOver, info.EntryKb, info.KeepaliveMax, info.Linger,
-		info.MemoryKb, info.RunFactor, float64(info.Callers), float64(info.Cores),
-		float64(env.Servers), env.Limits.MaxRetryAfter, env.Period,
-		rules.Cold, rules.ColdFrom, rules.DrainGrace, rules.TipMultiple}
-	for _, c := range env.Categories {
-		figures = append(figures, c.HardLimit, c.LateWorth, c.OnTime, c.Worth, c.Window)
+	for path, v := range map[string]float64{"CallShare": info.CallShare, "CallsOver": info.CallsOver, "EntryKb": info.EntryKb,
+		"KeepaliveMax": info.KeepaliveMax, "Linger": info.Linger, "MemoryKb": info.MemoryKb, "RunFactor": info.RunFactor,
+		"Callers": float64(info.Callers), "Cores": float64(info.Cores)} {
+		figure("FamilyInfo."+path, v)
 	}
-	if slices.Min(figures) < 0 || slices.Max(figures) > most {
-		return nil, errors.New("a figure of the settings is out of range")
+	for path, v := range map[string]float64{"Servers": float64(env.Servers), "Limits.MaxRetryAfter": env.Limits.MaxRetryAfter,
+		"Period": env.Period, "Rules.Cold": rules.Cold, "Rules.ColdFrom": rules.ColdFrom, "Rules.DrainGrace": rules.DrainGrace,
+		"Rules.TipMultiple": rules.TipMultiple} {
+		figure(path, v)
+	}
+	names := map[string]bool{}
+	for i, c := range env.Categories {
+		at := fmt.Sprintf("Categories[%d]", i)
+		for path, v := range map[string]float64{"HardLimit": c.HardLimit, "LateWorth": c.LateWorth, "OnTime": c.OnTime,
+			"Worth": c.Worth, "Window": c.Window} {
+			figure(at+"."+path, v)
+		}
+		if word(at+".Effect", c.Effect, effectWords); c.Effect == "" {
+			l.Add(at+".Effect", "one of "+strings.Join(effectWords, ", "), "is missing")
+		}
+		if names[c.Name] && c.Name != "" {
+			l.Add(at+".Name", "each name once", "%q stands twice", c.Name)
+		}
+		names[c.Name] = true
+		if c.OnTime > c.HardLimit && c.OnTime <= most {
+			l.Add(at+".OnTime", fmt.Sprintf("at most HardLimit, %v", c.HardLimit), "%v: the answer is wanted within more than its caller waits", c.OnTime)
+		}
+		if c.LateWorth > 1 {
+			l.Add(at+".LateWorth", "from 0 to 1", "%v is out of range", c.LateWorth)
+		}
+		if c.Effect == "by_key" && c.Window == 0 {
+			l.Add(at+".Window", "how long a repeat may come", "by_key without a window")
+		}
+	}
+	word("FamilyInfo.Halt", info.Halt, []string{"silent", "drop", "pause"})
+	word("FamilyInfo.Downstream", info.Downstream, []string{"silent", "common", "next_hop"})
+	word("FamilyInfo.Say", info.Say, append([]string{"silent"}, slices.Sorted(maps.Keys(tongues))...))
+	tenants := map[string]bool{}
+	for i, tenant := range env.Tenants {
+		if tenants[tenant.Name] {
+			l.Add(fmt.Sprintf("Tenants[%d].Name", i), "each name once", "%q stands twice", tenant.Name)
+		}
+		tenants[tenant.Name] = true
+		figure(fmt.Sprintf("Tenants[%d].Share", i), tenant.Share)
+	}
+	if len(l) > 0 {
+		slices.SortStableFunc(l, func(a, b faults.Fault) int { return strings.Compare(a.Path, b.Path) })
+		return nil, l
 	}
 	t := &Terms{Named: map[string]int{}, tenants: map[string]bool{}, Deployment: admission.Deployment{
 		Callers: info.Callers, Servers: env.Servers, Cores: info.Cores,
@@ -86,7 +146,9 @@
 			Effect: effects[c.Effect]})
 	}
 	for _, tenant := range env.Tenants {
-		t.tenants[tenant.Name] = true
+		if t.tenants[tenant.Name] = true; tenant.Share > 0 {
+			t.Shares = append(t.Shares, ledger.Tenant{Name: tenant.Name, Share: tenant.Share})
+		}
 	}
 	for _, meter := range info.Meters {
 		t.rows = append(t.rows, meters[meter])
@@ -101,6 +163,8 @@
 	"min_rank": admission.Rank, "tokens": admission.Allowed, "bias": admission.Odds,
 }
 
+var effectWords = []string{"repeatable", "by_key", "once"}
+
 var effects = map[string]admission.Effect{"by_key": admission.Stamped, "once": admission.OneShot}
 
 var meters = map[string]func(*admission.Gauges) *float64{
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,70 @@
+package deployment
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/admission"
+	"thistlequay/internal/faults"
+)
+
+const good = `{
+  "Categories": [
+    {"Name": "look", "Effect": "repeatable", "OnTime": 3200, "HardLimit": 7100, "LateWorth": 0.2, "Worth": 1, "New": 1},
+    {"Name": "book", "Effect": "by_key", "OnTime": 3200, "HardLimit": 7100, "Worth": 3, "Window": 35000}],
+  "FamilyInfo": {"Cores": 6, "Downstream": "common", "Halt": "drop", "Say": "min_rank", "Meters": ["links"]},
+  "Tenants": [{"Name": "a", "Share": 0.3}, {"Name": "b"}]
+}`
+
+func TestRead(t *testing.T) {
+	terms, err := Read([]byte(good))
+	require.NoError(t, err)
+	require.Equal(t, admission.Stamped, terms.Categories[1].Effect)
+	require.Equal(t, 1, terms.Named["book"])
+	require.Len(t, terms.Shares, 1)
+	require.True(t, terms.Tenant([]byte("b")) && !terms.Tenant([]byte("c")))
+}
+
+// What bears on a rule is known or it is a fault, told with its place.
+func TestFaultsWithTheirPlaces(t *testing.T) {
+	for _, c := range []struct{ from, to, at, fault string }{
+		{`by_key`, `by_kye`, `"by_kye"`, `Categories[1].Effect: "by_kye" is not known; expected one of repeatable, by_key, once`},
+		{`"Effect": "by_key", `, ``, `{"Name": "book"`, `Categories[1].Effect: is missing; expected one of repeatable, by_key, once`},
+		{`"drop"`, `"dorp"`, `"dorp"`, `FamilyInfo.Halt: "dorp" is not known; expected one of silent, drop, pause`},
+		{`"min_rank"`, `"rank"`, `"rank"`, `FamilyInfo.Say: "rank" is not known; expected one of silent, bias, min_rank, tokens`},
+		{`"common"`, `"comon"`, `"comon"`, `FamilyInfo.Downstream: "comon" is not known; expected one of silent, common, next_hop`},
+		{`"book"`, `"look"`, `"look", "Effect": "by_key"`, `Categories[1].Name: "look" stands twice; expected each name once`},
+		{`"Name": "b"`, `"Name": "a"`, `"a"}]`, `Tenants[1].Name: "a" stands twice; expected each name once`},
+		{`"OnTime": 3200, "HardLimit": 7100, "LateWorth"`, `"OnTime": 7200, "HardLimit": 7100, "LateWorth"`,
+			`7200,`, `Categories[0].OnTime: 7200: the answer is wanted within more than its caller waits; expected at most HardLimit, 7100`},
+		{`"Window": 35000`, `"Window": 0`, `0}],`, `Categories[1].Window: by_key without a window; expected how long a repeat may come`},
+		{`"LateWorth": 0.2`, `"LateWorth": -1`, `-1,`, `Categories[0].LateWorth: -1 is out of range; expected from 0 to 1e12`},
+		{`"Cores": 6`, `"Cores": "six"`, `"six"`, `FamilyInfo.Cores: is a string; expected a value of type int`},
+		{`"Worth": 3,`, `"Worth": 3, "effect": "once",`, `"once"`, `Categories[1].effect: stands twice; expected each name once`},
+		{`"Halt"`, `Halt`, `Halt: "drop"`, `can't be read: invalid character 'H' looking for beginning of object key string; expected JSON`},
+	} {
+		require.Contains(t, good, c.from)
+		text := []byte(strings.Replace(good, c.from, c.to, 1))
+		_, err := Read(text)
+		require.Error(t, err, c.to)
+		l := faults.LocateJSON(text, faults.Of(err))
+		require.Len(t, l, 1)
+		line := strings.Split(string(text), "\n")[l[0].Line-1]
+		require.True(t, strings.HasPrefix(line[l[0].Column-1:], c.at), "%s points at %s", c.fault, line[l[0].Column-1:])
+		l[0].Line = 0
+		require.Equal(t, c.fault, l.Error())
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if _, err := Read(text); err != nil {
+			for _, fault := range faults.LocateJSON(text, faults.Of(err)) {
+				require.Positive(t, fault.Line, fault.Error())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,41 @@
+// Package logs writes the program's log: one line an event, with the name under `event` and keys that stay the same from
+// version to version (docs/oncall.md lists them), as text or as JSON.
+//
+// It must never be used for each work item: a line costs some microseconds of the loop's core.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Format is how lines look.
+type Format string
+
+const (
+	Text Format = "text" // time event=name key=value ...
+	JSON Format = "json"
+)
+
+const stamp = "2006-01-02T15:04:05.000000Z"
+
+// Log writes events.
+type Log struct{ to zerolog.Logger }
+
+// New writes to out, which gets one whole line a call.
+func New(out io.Writer, as Format) Log {
+	if as == Text {
+		out = zerolog.ConsoleWriter{Out: out, NoColor: true, PartsOrder: []string{zerolog.TimestampFieldName},
+			FieldsOrder:     []string{"event", "name", "in_hand"},
+			FormatTimestamp: func(t any) string { return fmt.Sprint(t) }}
+	}
+	return Log{zerolog.New(out)}
+}
+
+// Event begins a line; Send ends it.
+func (l Log) Event(name string) *zerolog.Event {
+	return l.to.Log().Str(zerolog.TimestampFieldName, time.Now().UTC().Format(stamp)).Str("event", name)
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,34 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBothFormats(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, Text).Event("bad_peer").Str("reason", "two words").Int("count", 3).Send()
+	require.Regexp(t, `^\d{4}-\d\d-\d\dT[\d:.]+Z event=bad_peer count=3 reason="two words"\n$`, out.String())
+	out.Reset()
+	New(&out, JSON).Event("bad_peer").Str("reason", "two words").Int("count", 3).Send()
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "two words", line["reason"])
+	require.NotEmpty(t, line["time"])
+}
+
+func BenchmarkEvent(b *testing.B) {
+	for _, as := range []Format{Text, JSON} {
+		b.Run(string(as), func(b *testing.B) {
+			l := New(io.Discard, as)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Event("state").Int("in_hand", 7).Int("connections", 40).Int("stamps", 900).Int("calls", 3).Str("name", "n3").Send()
+			}
+		})
+	}
+}
--- a/internal/rehearsal/fair_test.go
+++ b/internal/rehearsal/fair_test.go
@@ -37,7 +37,7 @@
 
 func terms(streams []*standin.Stream) *ledger.Terms {
 	t := &ledger.Terms{Others: 0.1, Newcomers: 0.25, Books: 128, Groups: 64, Burst: 2_000, History: 50_000,
-		Reshuffle: 300_000, Cores: 4, Usual: []ledger.Tenths{400}}
+		Reshuffle: 300_000, Cores: 4, Contracts: []ledger.Tenths{20_000}}
 	for _, s := range streams {
 		if s.Name == nil && s.Share > 0 {
 			t.Tenants = append(t.Tenants, ledger.Tenant{Name: s.Tenant, Share: s.Share})
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,98 @@
+package service
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/deployment"
+)
+
+func read(t testing.TB, text string) (*Terms, error) {
+	file := filepath.Join(t.TempDir(), "service.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	terms, err := Read(file)
+	if err != nil {
+		err = fmt.Errorf("%s", strings.ReplaceAll(err.Error(), file, "f"))
+	}
+	return terms, err
+}
+
+func TestSections(t *testing.T) {
+	terms, err := Read("")
+	require.NoError(t, err)
+	require.Nil(t, terms.FairQueues.Ledger(&deployment.Terms{}))
+	terms, err = read(t, "# nothing set\n")
+	require.NoError(t, err)
+	require.Nil(t, terms.FairQueues)
+	terms, err = read(t, "fair_queues:\n")
+	require.NoError(t, err)
+	require.Equal(t, 256, terms.FairQueues.Books)
+	terms, err = read(t, `
+fair_queues:
+  tenants:
+    - {name: a, share: 3}
+    - {name: "7", share: 1.5}
+  burst: 1s
+  by: network
+  networks:
+    - {prefix: 10.0.0.0/8, tenant: a}
+    - {prefix: "fd00::1", tenant: b}
+  trusted_fronts: [127.0.0.1]
+`)
+	require.NoError(t, err)
+	f := terms.FairQueues
+	require.Equal(t, time.Second, f.Burst)
+	l := f.Ledger(&deployment.Terms{})
+	require.Equal(t, 2.25, l.Others) // the mean of the shares
+	require.Equal(t, 10_000, int(l.Burst))
+	require.NotNil(t, f.Tenancy())
+}
+
+func TestFaults(t *testing.T) {
+	for text, fault := range map[string]string{
+		"fair_queue:\n":                                                                "f:1:1: fair_queue: is not known; expected one of fair_queues",
+		"fair_queues:\n  book: 3\n":                                                    "f:2:3: fair_queues.book: is not known; expected one of tenants, others,",
+		"fair_queues:\n  books: 3\n  books: 4\n":                                       "f:3:3: fair_queues.books: stands twice; expected each key once",
+		"fair_queues:\n  books: many\n":                                                `f:2:10: fair_queues.books: "many"; expected a whole number`,
+		"fair_queues:\n  books: 1.5\n":                                                 `f:2:10: fair_queues.books: "1.5"; expected a whole number`,
+		"fair_queues:\n  books: -1\n":                                                  "f:2:10: fair_queues.books: -1 is out of range; expected at least 0",
+		"fair_queues:\n  newcomers: 1\n":                                               "f:2:14: fair_queues.newcomers: 1 is out of range; expected less than 1",
+		"fair_queues:\n  others: .nan\n":                                               `f:2:11: fair_queues.others: ".nan"; expected a number`,
+		"fair_queues:\n  burst: 200\n":                                                 `f:2:10: fair_queues.burst: "200"; expected a time with its unit, as in 250ms or 2s`,
+		"fair_queues:\n  burst: 2h\n":                                                  "f:2:10: fair_queues.burst: 2h is out of range; expected at most 60s",
+		"fair_queues:\n  by: hall\n":                                                   `f:2:7: fair_queues.by: "hall"; expected one of account, network`,
+		"fair_queues:\n  tenants:\n    - name: a\n":                                    "f:3:7: fair_queues.tenants[0].share: is missing; expected a value",
+		"fair_queues:\n  tenants:\n    - {name: 7, share: 1}\n":                        `f:3:14: fair_queues.tenants[0].name: "7"; expected text; quote it if that is meant`,
+		"fair_queues:\n  tenants: a\n":                                                 "f:2:12: fair_queues.tenants: is no list; expected a list",
+		"fair_queues: 3\n":                                                             "f:1:14: fair_queues: is none; expected a section of key: value",
+		"fair_queues:\n  burst: &x 1s\n  history: *x\n":                                "f:3:12: fair_queues.history: is an alias; expected the value itself",
+		"fair_queues:\n  books:\n":                                                     "f:2:9: fair_queues.books: is empty; expected a value",
+		"fair_queues:\n\tbooks: 3\n":                                                   "f:2:1: found character that cannot start any token",
+		"fair_queues:\n---\nfair_queues:\n":                                            "f:2:1: a second document; expected one document",
+		"fair_queues:\n  tenants: [{name: a, share: 1}, {name: a, share: 2}]\n":        `f:2:41: fair_queues.tenants[1].name: "a" stands twice; expected each tenant once`,
+		"fair_queues:\n  by: network\n":                                                "f:2:7: fair_queues.by: by: network without any; expected at least one network",
+		"fair_queues:\n  networks: [{prefix: 10.0.0.0/8, tenant: a}]\n":                "f:2:13: fair_queues.networks: networks are told, but tenants go by account; expected by: network",
+		"fair_queues:\n  by: network\n  networks: [{prefix: 10.0.0.1/8, tenant: a}]\n": `f:3:23: fair_queues.networks[0].prefix: "10.0.0.1/8": has bits set beyond its length`,
+		"fair_queues:\n  by: network\n  networks: [{prefix: ten, tenant: a}]\n":        `f:3:23: fair_queues.networks[0].prefix: "ten": is no address and no prefix such as 10.1.0.0/16 or fd00::/8`,
+		"fair_queues:\n  by: network\n  networks: [{prefix: 10.0.0.0/8, tenant: a}, {prefix: \"::ffff:10.0.0.0/104\", tenant: b}]\n": "f:3:56: fair_queues.networks[1].prefix: ::ffff:10.0.0.0/104 stands twice; expected each prefix once",
+	} {
+		_, err := read(t, text)
+		require.ErrorContains(t, err, fault, text)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("fair_queues:\n  tenants: [{name: a, share: 1}]\n  burst: 1s\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if terms, err := read(t, text); err == nil {
+			terms.FairQueues.Ledger(&deployment.Terms{})
+			terms.FairQueues.Tenancy()
+		}
+	})
+}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -39,7 +39,7 @@
 MARK T=13
 FOR Server=server-1
 KILL
-CREATE Prng=8 Env={"Categories":[{}],"FamilyInfo":{"Cores":1}}
+CREATE Prng=8 Env={"Categories":[{"Effect":"repeatable"}],"FamilyInfo":{"Cores":1}}
 EOF_BATCH
 MARK T=14
 EOF_BATCH
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -79,6 +79,21 @@
 	l.on++
 }
 
+// Undone: it is proven that its run never began after all.
+func (c *Claim) Undone(now Tenths) {
+	c.Resumed(now)
+	if c.of == nil || c.stage != running {
+		return
+	}
+	l := c.of.ledger
+	l.at(now)
+	c.stage = waiting
+	c.of.runs--
+	c.of.began -= c.began
+	c.of.booked -= c.booked
+	l.on--
+}
+
 // Called: its run waits for what lies below and needs no core.
 func (c *Claim) Called(now Tenths) {
 	if c.of == nil || c.stage != running {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,13 +37,14 @@
 	History   Tenths   // a tenant must have been asking for so long to get a book
 	Reshuffle Tenths   // the groups are made anew after this
 	Cores     int      // what the server has
-	Usual     []Tenths // first estimate of a run's core time, by category
+	Contracts []Tenths // contract times by category: runs are first taken to need a small part of them
 }
 
 const (
 	beat     = 2_500     // rates are measured and the books looked through this often: 250 ms
 	keep     = 0.75      // part of a measured rate that is left after a beat
 	forget   = 0.96      // and of what a tenant has used: half in about four seconds
+	guessed  = 1.0 / 16  // part of the contract time that a run is taken to need until some have been measured
 	learning = 1.0 / 8   // weight of the newest in a running mean
 	slowly   = 1.0 / 64  // and in one over all tenants
 	dearest  = 64        // a tenant's runs are not expected to take more than so many usual ones
@@ -114,16 +115,17 @@
 	l := &Ledger{chance: chance, now: now, beaten: now, salted: now, named: map[string]*account{},
 		heavy: map[uint64]*account{}, seed: chance.Uint64(), salt: chance.Uint64(), heard: newCandidates(tracked)}
 	l.rate = float64(t.Cores)
-	for _, u := range t.Usual {
-		l.usual = append(l.usual, max(1, float64(u)))
+	for _, c := range t.Contracts {
+		l.usual = append(l.usual, max(1, float64(c)*guessed))
 	}
 	l.keep(t)
 	return l
 }
 
-// Change takes up other terms. Tenants that stay keep their books; claims of those that go end on the books they began on.
+// Change takes up other terms, for the same cores and categories. Tenants that stay keep their books; claims of those that go end on the books they began on.
 func (l *Ledger) Change(t Terms, now Tenths) {
 	l.at(now)
+	t.Cores = l.terms.Cores
 	l.keep(t)
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -14,7 +14,7 @@
 
 func terms(named int) ledger.Terms {
 	t := ledger.Terms{Others: 0.1, Newcomers: 0.25, Books: 256, Groups: 128, Burst: 2_000, History: 50_000,
-		Reshuffle: 300_000, Cores: 4, Usual: []ledger.Tenths{400}}
+		Reshuffle: 300_000, Cores: 4, Contracts: []ledger.Tenths{6_400}}
 	for i := range named {
 		t.Tenants = append(t.Tenants, ledger.Tenant{Name: fmt.Sprint("tenant-", i), Share: 1})
 	}
@@ -83,6 +83,8 @@
 					case 4:
 						c.Close(now)
 						c.Close(now)
+					case 5:
+						c.Undone(now)
 					}
 				}
 			}
@@ -123,7 +125,7 @@
 				s := admission.New(admission.Deployment{Cores: 1, Memory: 1e12, RunFactor: 2, Categories: []admission.Category{
 					{Gain: 1, Contract: 1 << 40, Expiry: 1 << 41}, {Gain: 2, Contract: 1 << 40, Expiry: 1 << 41}}}, q, 0)
 				t := terms(min(tenants, 4))
-				t.Usual = []ledger.Tenths{400, 400}
+				t.Contracts = []ledger.Tenths{6_400, 6_400}
 				l := ledger.New(t, rand.New(rand.NewSource(1)), 0)
 				names := make([][]byte, tenants)
 				for i := range names {
