--- /dev/null
+++ b/ledger/scenario_test.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A scenario in testdata is played line by line; README.md there has the notation.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { play(t, file) })
+	}
+}
+
+type stageOf struct {
+	*require.Assertions
+	terms  Terms
+	l      *Ledger
+	now    Tenths
+	turn   float64
+	claims map[string]*Claim
+}
+
+func play(t *testing.T, file string) {
+	f, err := os.Open(file)
+	require.NoError(t, err)
+	defer f.Close()
+	s := &stageOf{Assertions: require.New(t), claims: map[string]*Claim{}, terms: Terms{Others: 1, Newcomers: 0.25, Books: 2,
+		Groups: 4, Burst: 1, History: 10_000, Reshuffle: 1 << 50, Cores: 1, Contracts: []Tenths{1_600}}}
+	in := bufio.NewScanner(f)
+	for n := 1; in.Scan(); n++ {
+		line, _, _ := strings.Cut(in.Text(), "#")
+		if word := strings.Fields(line); len(word) > 0 {
+			s.step(word, fmt.Sprintf("%s:%d %s", file, n, strings.TrimSpace(line)))
+		}
+	}
+}
+
+func (s *stageOf) number(text, where string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	s.NoError(err, where)
+	return v
+}
+
+func (s *stageOf) step(word []string, where string) {
+	switch word[0] {
+	case "terms": // key=value; a tenant's share under its name with a dot before it
+		s.terms.Tenants = nil
+		for _, w := range word[1:] {
+			key, text, _ := strings.Cut(w, "=")
+			v := s.number(text, where)
+			switch key {
+			case "others":
+				s.terms.Others = v
+			case "books":
+				s.terms.Books = int(v)
+			case "groups":
+				s.terms.Groups = int(v)
+			case "burst":
+				s.terms.Burst = Tenths(v * 10)
+			case "reshuffle":
+				s.terms.Reshuffle = Tenths(v * 10)
+			case "cores":
+				s.terms.Cores = int(v)
+			default:
+				s.True(strings.HasPrefix(key, "."), where)
+				s.terms.Tenants = append(s.terms.Tenants, Tenant{Name: key[1:], Share: v})
+			}
+		}
+		if s.l == nil {
+			s.l = New(s.terms, rand.New(rand.NewSource(1)), s.now)
+		} else {
+			s.l.Change(s.terms, s.now)
+		}
+	case "at":
+		s.now = Tenths(s.number(word[1], where) * 10)
+		if len(word) > 2 {
+			s.step(word[2:], where)
+		}
+	case "turn":
+		s.turn = s.number(word[1], where)
+	case "open": // NAME TENANT [turn=T] [behind=MS]
+		c := s.l.Open([]byte(word[2]), 0, s.turn, s.now)
+		s.claims[word[1]] = &c
+		for _, w := range word[3:] {
+			key, text, _ := strings.Cut(w, "=")
+			got := map[string]float64{"turn": c.Turn, "behind": float64(c.Behind) / 10}[key]
+			s.InDelta(s.number(text, where), got, 0.11, where)
+		}
+	case "runs": // TENANT EVERY TOOK UNTIL: a run after the other, in milliseconds
+		every, took := Tenths(s.number(word[2], where)*10), Tenths(s.number(word[3], where)*10)
+		for end := Tenths(s.number(word[4], where) * 10); s.now < end; s.now += every {
+			c := s.l.Open([]byte(word[1]), 0, s.turn, s.now)
+			c.Began(s.now)
+			c.Close(s.now + took)
+		}
+	case "book": // TENANT KIND: what kind of book it has
+		a, _ := s.l.find([]byte(word[1]))
+		s.Equal(word[2], map[kind]string{named: "named", heavy: "heavy", group: "group"}[a.kind], where)
+	case "apart": // TENANT TENANT: no longer in one group
+		a, _ := s.l.find([]byte(word[1]))
+		b, _ := s.l.find([]byte(word[2]))
+		s.NotSame(a, b, where)
+	case "together":
+		a, _ := s.l.find([]byte(word[1]))
+		b, _ := s.l.find([]byte(word[2]))
+		s.Same(a, b, where)
+	default:
+		c := s.claims[word[1]]
+		s.NotNil(c, where)
+		switch word[0] {
+		case "began":
+			c.Began(s.now)
+		case "called":
+			c.Called(s.now)
+		case "resumed":
+			c.Resumed(s.now)
+		case "undone":
+			c.Undone(s.now)
+		case "close":
+			c.Close(s.now)
+		case "return": // NAME LEAST MOST FROM TO
+			v := make([]float64, 4)
+			for i := range v {
+				v[i] = s.number(word[2+i], where)
+			}
+			got := float64(c.Return(Tenths(v[0]*10), Tenths(v[1]*10), s.now)) / 10
+			s.True(got >= v[2] && got <= v[3], "%s: %v", where, got)
+		default:
+			s.Fail("unknown line", where)
+		}
+	}
+}
