--- a/cmd/thistlequay/try.go
+++ b/cmd/thistlequay/try.go
@@ -208,5 +208,5 @@
 	a, b := standin.Total(off), standin.Total(on)
 	w.AppendFooter(row(&a, &b))
 	w.Render()
-	fmt.Fprintln(out, "of entitled: gain delivered inside the contract time, of what the tenant's part by its share (max-min) would have earned.")
+	fmt.Fprintln(out, "of entitled: gain delivered inside the contract time, of what the tenant's part by its share (max-min) would have earned in that time; answers after the last ask count too.")
 }
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -72,11 +72,17 @@
 	}
 	l := c.of.ledger
 	l.at(now)
-	c.stage, c.began = running, l.clock
-	c.of.runs++
-	c.of.began += c.began
-	c.of.booked += c.booked
-	l.on++
+	c.began = l.clock
+	c.core(running, 1)
+}
+
+// core takes its run onto the cores (1) or off them (-1).
+func (c *Claim) core(to stage, by int) {
+	c.stage = to
+	c.of.runs += by
+	c.of.began += float64(by) * c.began
+	c.of.booked += float64(by) * c.booked
+	c.of.ledger.on += by
 }
 
 // Undone: it is proven that its run never began after all.
@@ -85,13 +91,8 @@
 	if c.of == nil || c.stage != running {
 		return
 	}
-	l := c.of.ledger
-	l.at(now)
-	c.stage = waiting
-	c.of.runs--
-	c.of.began -= c.began
-	c.of.booked -= c.booked
-	l.on--
+	c.of.ledger.at(now)
+	c.core(waiting, -1)
 }
 
 // Called: its run waits for what lies below and needs no core.
@@ -101,11 +102,8 @@
 	}
 	l := c.of.ledger
 	l.at(now)
-	c.stage, c.left = away, l.clock
-	c.of.runs--
-	c.of.began -= c.began
-	c.of.booked -= c.booked
-	l.on--
+	c.left = l.clock
+	c.core(away, -1)
 }
 
 // Resumed: its run goes on.
@@ -115,11 +113,8 @@
 	}
 	l := c.of.ledger
 	l.at(now)
-	c.stage, c.began = running, c.began+l.clock-c.left
-	c.of.runs++
-	c.of.began += c.began
-	c.of.booked += c.booked
-	l.on++
+	c.began += l.clock - c.left
+	c.core(running, 1)
 }
 
 // Close ends the claim. What ran is charged what it took; what did not run gets its charge back. Nothing happens twice.
@@ -130,18 +125,15 @@
 	a := c.of
 	l := a.ledger
 	l.at(now)
-	took := 0.0
+	took, ran := 0.0, c.stage != waiting
 	switch c.stage {
 	case running:
 		took = l.clock - c.began
-		a.runs--
-		a.began -= c.began
-		a.booked -= c.booked
-		l.on--
+		c.core(none, -1)
 	case away:
 		took = c.left - c.began
 	}
-	if c.stage != waiting {
+	if ran {
 		usual := &l.usual[c.kind]
 		a.cost += (min(took / *usual, dearest) - a.cost) * learning
 		*usual += (max(1, took) - *usual) * slowly
