--- /dev/null
+++ b/internal/standin/wasm.go
@@ -0,0 +1,178 @@
+package standin
+
+// This file owns plug-ins that do harm, and some that do not, as bytes: small modules put together here, so that tests need
+// no other tool chain. Each follows docs/plugins/authors.md as far as its kind lets it.
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"thistlequay/internal/plugin/abi"
+)
+
+// uleb and sleb are the encodings of numbers in a module.
+func uleb(n uint32) (out []byte) {
+	for ; n >= 0x80; n >>= 7 {
+		out = append(out, byte(n)|0x80)
+	}
+	return append(out, byte(n))
+}
+
+func sleb(n int64) (out []byte) {
+	for {
+		b := byte(n & 0x7f)
+		n >>= 7
+		if n == 0 && b&0x40 == 0 || n == -1 && b&0x40 != 0 {
+			return append(out, b)
+		}
+		out = append(out, b|0x80)
+	}
+}
+
+func vector(items ...[]byte) []byte {
+	out := uleb(uint32(len(items)))
+	for _, i := range items {
+		out = append(out, i...)
+	}
+	return out
+}
+
+func section(id byte, body []byte) []byte {
+	return append(append([]byte{id}, uleb(uint32(len(body)))...), body...)
+}
+
+func name(s string) []byte { return append(uleb(uint32(len(s))), s...) }
+
+const (
+	verdictAt = 64   // where a module keeps the verdict that it gives
+	bufferAt  = 4096 // and where requests are written
+)
+
+// Functions of a module by their index: the imports come first.
+const (
+	fnLog = iota
+	fnNow
+	fnABI
+	fnBuffer
+	fnRead
+	fnResult
+	fnTick
+	fnStart
+)
+
+func i32(n int64) []byte { return append([]byte{0x41}, sleb(n)...) }
+func i64(n int64) []byte { return append([]byte{0x42}, sleb(n)...) }
+func join(parts ...[]byte) (out []byte) {
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
+// at is a pointer and a length as a hook returns them.
+func at(pointer, length uint32) []byte { return i64(int64(uint64(pointer)<<32 | uint64(length))) }
+
+// shape is what differs from module to module.
+type shape struct {
+	version            int64
+	read, result, tick []byte // bodies, which leave an i64
+	start              []byte
+	verdict            []byte
+	foreign            bool // imports what the program does not offer
+}
+
+var (
+	goOn    = i64(0)
+	forever = []byte{0x03, 0x40, 0x0c, 0x00, 0x0b} // loop, br 0, end
+	trap    = []byte{0x00}
+	trapTen = join(i32(0), i32(0), []byte{0x28, 2, 0}, i32(1), []byte{0x6a, 0x36, 2, 0}, // memory[0]++
+		i32(0), []byte{0x28, 2, 0}, i32(10), []byte{0x70, 0x45, 0x04, 0x40, 0x00, 0x0b}) // if memory[0]%10 == 0: trap
+	recurse = func(fn byte) []byte { return []byte{0x20, 0, 0x20, 1, 0x10, fn} }
+	// busy waits for so many milliseconds by the clock.
+	busyFor = func(ms int64) []byte {
+		return join([]byte{0x10, fnNow, 0x21, 2, 0x03, 0x40, 0x10, fnNow, 0x20, 2, 0x7d}, i64(ms), []byte{0x53, 0x0d, 0, 0x0b})
+	}
+)
+
+func verdictOf(v abi.Verdict) []byte { return v.Append(nil) }
+
+var shapes = map[string]func() shape{
+	"good":         func() shape { return shape{} },
+	"declines":     func() shape { return shape{verdict: verdictOf(abi.Verdict{Does: abi.Declines, Status: 403})} },
+	"shortens":     func() shape { return shape{verdict: verdictOf(abi.Verdict{Does: abi.Replaces, Body: []byte("short")})} },
+	"tags":         func() shape { return shape{verdict: verdictOf(abi.Verdict{Does: abi.Tags, Tag: "vip"})} },
+	"recategorise": func() shape { return shape{verdict: verdictOf(abi.Verdict{Does: abi.Categorises, Category: "brief"})} },
+	"loops": func() shape {
+		return shape{read: join(forever, goOn), result: join(forever, goOn), tick: join(forever, goOn)}
+	},
+	"loops-at-start": func() shape { return shape{start: forever} },
+	"asks-4gib":      func() shape { return shape{read: join(i32(65535), []byte{0x40, 0, 0x1a}, goOn)} },
+	"asks-bit-by-bit": func() shape {
+		return shape{read: join([]byte{0x03, 0x40}, i32(1), []byte{0x40, 0, 0x1a, 0x0c, 0, 0x0b}, goOn)}
+	},
+	"recurses":         func() shape { return shape{read: recurse(fnRead), result: recurse(fnResult)} },
+	"traps":            func() shape { return shape{read: join(trap, goOn), result: join(trap, goOn)} },
+	"traps-one-in-ten": func() shape { return shape{read: join(trapTen, goOn), result: join(trapTen, goOn)} },
+	"points-outside":   func() shape { return shape{read: at(0xfffffff0, 64), result: at(0xfffffff0, 64)} },
+	"answers-1gib":     func() shape { return shape{read: at(0, 1<<30), result: at(0, 1<<30)} },
+	"status-9999":      func() shape { return shape{verdict: verdictOf(abi.Verdict{Does: abi.Declines, Status: 9999})} },
+	"no-such-category": func() shape {
+		return shape{verdict: verdictOf(abi.Verdict{Does: abi.Categorises, Category: "nowhere"})}
+	},
+	"noise": func() shape { return shape{verdict: []byte("\xff\x00 no verdict at all")} },
+	"logs-without-end": func() shape {
+		return shape{read: join([]byte{0x03, 0x40}, i32(0), i32(64), []byte{0x10, fnLog, 0x0c, 0, 0x0b}, goOn)}
+	},
+	"other-version": func() shape { return shape{version: 7} },
+	"foreign":       func() shape { return shape{foreign: true} },
+	"slow-4ms":      func() shape { return shape{read: join(busyFor(4), goOn), result: join(busyFor(4), goOn)} },
+}
+
+// Plugins lists the kinds of plug-in that Plugin makes.
+func Plugins() []string { return slices.Sorted(maps.Keys(shapes)) }
+
+// Plugin makes a module of a kind.
+func Plugin(kind string) []byte {
+	if kind == "truncated" {
+		whole := Plugin("good")
+		return whole[:len(whole)/2]
+	}
+	s := shapes[kind]()
+	if s.version == 0 {
+		s.version = abi.Version
+	}
+	for _, body := range []*[]byte{&s.read, &s.result, &s.tick} {
+		if *body == nil {
+			*body = goOn
+			if s.verdict != nil {
+				*body = at(verdictAt, uint32(len(s.verdict)))
+			}
+		}
+	}
+	const i32t, i64t = 0x7f, 0x7e
+	types := vector([]byte{0x60, 0, 1, i32t}, []byte{0x60, 1, i32t, 1, i32t}, []byte{0x60, 2, i32t, i32t, 1, i64t},
+		[]byte{0x60, 2, i32t, i32t, 0}, []byte{0x60, 0, 0}, []byte{0x60, 0, 1, i64t})
+	log := "log"
+	if s.foreign {
+		log = "open_socket"
+	}
+	imports := vector(join(name("thistlequay"), name(log), []byte{0, 3}), join(name("thistlequay"), name("now"), []byte{0, 5}))
+	functions := vector([]byte{0}, []byte{1}, []byte{2}, []byte{2}, []byte{2}, []byte{4})
+	exports := vector(join(name("memory"), []byte{2, 0}), join(name("tq_abi"), []byte{0, fnABI}),
+		join(name("tq_buffer"), []byte{0, fnBuffer}), join(name("tq_read"), []byte{0, fnRead}),
+		join(name("tq_result"), []byte{0, fnResult}), join(name("tq_tick"), []byte{0, fnTick}),
+		join(name("_initialize"), []byte{0, fnStart}))
+	body := func(code []byte) []byte { // one local, an i64
+		code = join([]byte{1, 1, i64t}, code, []byte{0x0b})
+		return append(uleb(uint32(len(code))), code...)
+	}
+	code := vector(body(i32(s.version)), body(i32(bufferAt)), body(s.read), body(s.result), body(s.tick), body(s.start))
+	out := binary.LittleEndian.AppendUint32([]byte("\x00asm"), 1)
+	out = join(out, section(1, types), section(2, imports), section(3, functions), section(5, []byte{1, 0, 1}),
+		section(7, exports), section(10, code))
+	if s.verdict != nil {
+		out = join(out, section(11, vector(join([]byte{0}, i32(verdictAt), []byte{0x0b}, uleb(uint32(len(s.verdict))), s.verdict))))
+	}
+	return out
+}
