Plug-ins in the daemon: hooks on reading, results and ticks, in a process of their own

Need: a rule for a holiday meant a rebuild. Change: the app server sends work items past plug-ins before they are taken and results before they are answered; a walk has a bounded time, waits beside the module's books, and goes on as the settings say where no verdict comes. The process has its own memory bound and a lower priority; a new version is compiled and tried on samples in a new process before anything is asked there, work under way ends where it began. Not yet: guest package, documents.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -140,6 +140,9 @@
 
 func (s *Server) At(now Tenths) { s.now = max(s.now, now) }
 
+// Beside books memory that work items take which have been read and are not taken yet; less than 0 gives it back.
+func (s *Server) Beside(kb float64) { s.memory += kb }
+
 // Turn is up to where the turns of work items have come.
 func (s *Server) Turn() float64 { return s.hold.turn }
 
--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"strings"
 	"syscall"
@@ -18,6 +19,7 @@
 	"thistlequay/internal/appserver"
 	"thistlequay/internal/faults"
 	"thistlequay/internal/logs"
+	"thistlequay/internal/plugin"
 	"thistlequay/internal/service"
 )
 
@@ -30,6 +32,7 @@
 	Serve   serve   `cmd:"" default:"withargs" help:"Serve work items. This is also what the program does without a command."`
 	Check   check   `cmd:"" help:"Check files and tell each fault with its place: the platform's JSON and our YAML."`
 	Try     try     `cmd:"" help:"Start servers with stand-ins on this machine, send ten seconds of work from four tenants, print what came of it."`
+	Plugin  plugins `cmd:"" help:"Check and run plug-ins."`
 	Version version `cmd:"" help:"Tell the version."`
 }
 
@@ -39,7 +42,15 @@
 leave, SIGHUP read its files again. Exit codes: 0 all went well, 1 it could not start, failed or found faults, 2 the command
 line is wrong.`
 
-func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	if len(os.Args) == 2 && os.Args[1] == plugin.Command { // begun by a server, see internal/plugin
+		if err := plugin.Main(plugin.Descriptor()); err != nil {
+			os.Exit(exitFailed)
+		}
+		return
+	}
+	os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+}
 
 // command carries out one command line and gives the exit code.
 func command(args []string, out, errs io.Writer) (code int) {
@@ -73,8 +84,11 @@
 var errSaid = errors.New("said")
 
 type serve struct {
-	Config  string      `env:"PROXY_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
-	Service string      `env:"THISTLEQUAY_SERVICE" placeholder:"FILE" help:"Our own settings, YAML; a section a subsystem. Without it all of them are off."`
+	Config  string `env:"PROXY_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
+	Service string `env:"THISTLEQUAY_SERVICE" placeholder:"FILE" help:"Our own settings, YAML; a section a subsystem. Without it all of them are off."`
+	app     *appserver.App
+	section *service.Plugins // that the running ones were begun by
+	running *appserver.Plugins
 	Log     logs.Format `enum:"text,json" default:"text" help:"How log lines look: ${enum}."`
 }
 
@@ -86,6 +100,7 @@
 		return said(log, "cannot_start", err)
 	}
 	app := appserver.New(place, log)
+	s.app = app
 	leave, again := make(chan os.Signal, 1), make(chan os.Signal, 1) // apart: many of one never crowd out the other
 	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(again, syscall.SIGHUP)
@@ -129,14 +144,43 @@
 	if err != nil {
 		return p, err
 	}
-	if err := own.Against(p.Terms); err != nil {
+	if err := own.Against(p.Terms, p.Memory); err != nil {
 		return p, err
 	}
 	p.Fair, p.Tenancy = own.FairQueues.Ledger(p.Terms), own.FairQueues.Tenancy()
+	if p.Plugins, err = s.plugins(own.Plugins, p); err != nil {
+		return p, err
+	}
 	apply(p)
 	return p, nil
 }
 
+// plugins begins a process of plug-ins where the settings or a module's bytes are others than before: it compiles them
+// and tries them on their samples, and only then anything is asked there.
+func (s *serve) plugins(of *service.Plugins, p appserver.Place) (*appserver.Plugins, error) {
+	if of == nil {
+		s.running, s.section = nil, nil
+		return nil, nil
+	}
+	if s.running != nil && reflect.DeepEqual(s.section, of) {
+		return s.running, nil
+	}
+	t := &appserver.Plugins{Grants: of.Grants(p.Terms), Drop: of.Drop(),
+		Begin: func(kept map[string]map[string][]byte) (*plugin.Process, error) {
+			return plugin.Start(of.Spec(kept), of.Ready, os.Stderr)
+		}}
+	var kept map[string]map[string][]byte
+	if s.app != nil {
+		kept = s.app.Kept()
+	}
+	var err error
+	if t.Process, err = t.Begin(kept); err != nil {
+		return nil, err
+	}
+	s.running, s.section = t, of
+	return t, nil
+}
+
 type check struct {
 	Files []string `arg:"" name:"FILE" help:"Files that end in .json are the platform's, those in .yaml or .yml ours. Where one of each is given, they are checked against each other."`
 }
@@ -169,7 +213,7 @@
 	}
 	for _, p := range places {
 		for _, t := range own {
-			tell(t.Against(p.Terms))
+			tell(t.Against(p.Terms, p.Memory))
 		}
 	}
 	if found > 0 {
--- /dev/null
+++ b/cmd/thistlequay/plugin.go
@@ -0,0 +1,104 @@
+package main
+
+// This file owns `thistlequay plugin`: what an author needs before a server sees the module.
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"thistlequay/internal/faults"
+	"thistlequay/internal/plugin"
+	"thistlequay/internal/plugin/abi"
+)
+
+type plugins struct {
+	Check pluginCheck `cmd:"" help:"Compile a module, start it and ask its version, as a server would."`
+	Run   pluginRun   `cmd:"" help:"Ask a module about one request and tell its verdict, time and memory."`
+}
+
+type bounds struct {
+	Engine   string        `enum:"interpreter,compiler" default:"interpreter" help:"How it is run: ${enum}."`
+	MemoryKB int           `name:"memory-kb" default:"4096" help:"Memory of an instance."`
+	CodeKB   int           `name:"code-kb" default:"8192" help:"Size of the file."`
+	Start    time.Duration `default:"5s" help:"Time to start."`
+	Call     time.Duration `default:"5ms" help:"Time of one call."`
+	Hooks    []string      `default:"read" enum:"read,result,tick" help:"What it is to be asked: ${enum}."`
+}
+
+var hookNumbers = map[string]int{"read": abi.Read, "result": abi.Result, "tick": abi.Tick}
+
+func (b *bounds) one(file string) plugin.One {
+	one := plugin.One{Name: file, File: file, MemoryKB: b.MemoryKB, CodeKB: b.CodeKB, KeepKB: 64, Start: b.Start,
+		Compile: b.Engine == "compiler"}
+	for _, h := range b.Hooks {
+		one.Hooks[hookNumbers[h]] = true
+	}
+	return one
+}
+
+type pluginCheck struct {
+	bounds `embed:""`
+	File   string `arg:"" name:"FILE" help:"The module."`
+}
+
+// Run loads it once.
+func (c *pluginCheck) Run(out io.Writer) error {
+	t, err := plugin.Try(c.one(c.File), nil, 0)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: sha256 %s, ready after %v, %d KB of memory an instance\n", c.File, t.SHA256, t.Ready.Round(time.Microsecond), t.MemoryKB)
+	return err
+}
+
+type pluginRun struct {
+	bounds  `embed:""`
+	File    string `arg:"" name:"FILE" help:"The module."`
+	Request string `required:"" placeholder:"FILE" help:"JSON: hook, left_ms, category, tenant, tag, body."`
+	Times   int    `default:"1" help:"How often it is asked."`
+}
+
+// Run asks it and prints what it says.
+func (c *pluginRun) Run(out io.Writer) error {
+	text, err := os.ReadFile(c.Request)
+	if err != nil {
+		return err
+	}
+	q := struct {
+		Hook                        string `json:"hook"`
+		Left                        uint32 `json:"left_ms"`
+		Category, Tenant, Tag, Body string
+	}{Hook: "read", Left: 1000}
+	if err := faults.JSON(text, &q); err != nil {
+		return faults.Of(err).In(c.Request)
+	}
+	hook, known := hookNumbers[q.Hook]
+	if !known {
+		return faults.LocateJSON(text, faults.List{{Path: "hook", What: fmt.Sprintf("%q", q.Hook), Want: "one of read, result, tick"}}).In(c.Request)
+	}
+	c.Hooks = append(c.Hooks, q.Hook)
+	t, err := plugin.Try(c.one(c.File), &abi.Request{Hook: hook, Left: q.Left, Now: time.Now().UnixMilli(), Category: q.Category,
+		Tenant: q.Tenant, Tag: q.Tag, Body: []byte(q.Body)}, c.Times, c.Call)
+	if err != nil {
+		return err
+	}
+	var does []string
+	for _, d := range []struct {
+		bit  int
+		word string
+	}{{abi.Declines, "decline"}, {abi.Categorises, "categorise"}, {abi.Tags, "tag"}, {abi.Replaces, "rewrite"}} {
+		if t.Verdict.Does&d.bit != 0 {
+			does = append(does, d.word)
+		}
+	}
+	if len(does) == 0 {
+		does = []string{"nothing"}
+	}
+	return json.NewEncoder(out).Encode(map[string]any{"does": strings.Join(does, " "), "status": t.Verdict.Status,
+		"category": t.Verdict.Category, "tag": t.Verdict.Tag, "body": string(t.Verdict.Body),
+		"took_us": t.Took.Microseconds(), "memory_kb": t.MemoryKB, "says": t.Says})
+}
--- a/hooks/conduct.go
+++ b/hooks/conduct.go
@@ -56,6 +56,9 @@
 	until  Tenths
 }
 
+// Until is the end of its last quarantine.
+func (c *Conduct) Until() Tenths { return c.until }
+
 func newConduct(chance *rand.Rand, now Tenths) *Conduct {
 	return &Conduct{chance: chance, since: now, room: float64(second), roomAt: now}
 }
@@ -66,30 +69,26 @@
 	c.roomAt = now
 }
 
-// may says whether the plug-in may be asked now, and whether that is a trial.
-func (c *Conduct) may(tenant string, now Tenths, g *Grant) (trial, may bool) {
+// may says whether the plug-in may be asked now.
+func (c *Conduct) may(tenant string, now Tenths, g *Grant) bool {
 	if c.fill(now, g); c.room <= 0 {
-		return false, false
+		return false
 	}
 	if c.State == Quarantined && now >= c.until {
 		c.State, c.good = Trial, 0
 	}
-	switch {
-	case c.State == Quarantined, c.State == Trial && c.trying:
-		return false, false
-	case c.State == Trial:
-		c.trying = true
-		trial = true
+	if c.State == Quarantined || c.State == Trial && c.trying {
+		return false
 	}
 	if a := c.of(tenant); a != nil && a.row >= g.Row {
 		if now < a.until {
-			c.trying = c.trying && !trial
-			return false, false
+			return false
 		}
 		a.until = now + a.wait // one trial for this tenant
 	}
+	c.trying = c.State == Trial
 	c.Calls++
-	return trial, true
+	return true
 }
 
 func (c *Conduct) of(tenant string) *apart {
--- a/hooks/hooks.go
+++ b/hooks/hooks.go
@@ -156,7 +156,6 @@
 	next  int
 	until Tenths
 	asked *Plugin
-	trial bool
 
 	// What came of it.
 	Declined bool
@@ -173,6 +172,15 @@
 	return &Walk{chain: c, at: at, item: it, until: now + min(longestWalk, it.Left/2), Category: it.Category, Body: body}
 }
 
+// Tick has a plug-in asked about nothing; nil where it may not be asked now.
+func (c *Chain) Tick(p *Plugin, now Tenths) *Walk {
+	if !p.may("", now, &p.Grant) {
+		return nil
+	}
+	c.Under++
+	return &Walk{chain: c, at: Tick, next: len(c.Plugins), asked: p, Category: -1}
+}
+
 // Item is what the walk is about.
 func (w *Walk) Item() Item { return w.item }
 
@@ -186,12 +194,11 @@
 			continue
 		}
 		within = min(p.Call, Tenths(float64(w.item.Left)*p.Share), w.until-now)
-		trial, may := p.may(w.item.Tenant, now, &p.Grant)
-		if !may || within <= 0 {
+		if within <= 0 || !p.may(w.item.Tenant, now, &p.Grant) {
 			w.otherwise(p)
 			continue
 		}
-		w.asked, w.trial = p, trial
+		w.asked = p
 		return p, within
 	}
 	w.chain.Under--
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"thistlequay/admission"
+	"thistlequay/hooks"
 	"thistlequay/internal/deployment"
 	"thistlequay/internal/fastcgi"
 	"thistlequay/ledger"
@@ -46,7 +47,14 @@
 	category  int
 	conn      *router // nil once it is answered or its caller is gone
 	stream    *fastcgi.Stream
-	key       []byte // as it came, good while it is taken
+	key       []byte // as it came, good until it is admitted, as the next three
+	tenant    []byte
+	arrival   admission.Arrival
+	reached   admission.Tenths // the machine
+	until     admission.Tenths // its caller waits
+	who       string           // its tenant, where plug-ins are there
+	tag       string           // that one of them gave it
+	host      *pluginHost      // the process that it began with
 	body      []byte
 	taken     admission.Tenths
 	claim     ledger.Claim
@@ -96,43 +104,105 @@
 // take reads a whole request. One that cannot be a work item is answered with a status that says why.
 func (t *items) take(c *router, s *fastcgi.Stream) {
 	a := t.app
-	it, arrival, reached, tenant, status := t.read(c, s)
+	it, status := t.read(c, s)
 	if status == "" && a.server == nil {
 		c.answer(s, "503 Starting", "", nil)
 		return
 	}
-	var key string
-	var before *stamp
-	var print [sha256.Size]byte
-	if status == "" && a.place.Terms.Categories[it.category].Effect == admission.Stamped {
-		key = strconv.Itoa(it.category) + " " + string(it.key) // no result for another category
-		print = sha256.Sum256(s.Body)
-		if before = t.stamps[key]; before != nil && before.owner == nil && reached >= before.until {
-			t.drop(before)
-			before = nil
-		}
-		if before != nil && before.body != print {
-			status = "422 Once-Key with another body" // neither shares the result nor takes the place of the true one
-		}
-	}
 	if status != "" {
-		if often(&t.refused) {
-			a.log.Event("unusable_request").Str("status", status).Int("count", t.refused).Send()
-		}
+		t.unusable(status)
 		c.answer(s, status, "", nil)
 		return
 	}
-	if a.ledger != nil {
-		it.claim = a.ledger.Open(tenant, it.category, a.server.Turn(), a.now)
-		arrival.Turn, arrival.Behind = it.claim.Turn, it.claim.Behind
-	}
 	it.app, it.conn, it.stream, it.taken = a, c, s, a.now
-	it.body, s.Mark, it.key = bytes.Clone(s.Body), it, nil // a buffer is much larger
+	it.body, s.Mark = bytes.Clone(s.Body), it // a buffer is much larger
+	t.byID[it.id] = it
+	a.plugins.begins(it)
+	if !a.plugins.aside(it, func() {
+		it.key, it.tenant = bytes.Clone(it.key), bytes.Clone(it.tenant) // a buffer is used again
+		a.server.Beside(it.arrival.HeldKb)
+	}, func(w *hooks.Walk) { t.back(it, w) }) {
+		t.admit(it, it.tenant)
+	}
 	if s.Body != nil {
 		c.Free(s.Body)
 		s.Body = nil
 	}
-	t.byID[it.id] = it
+}
+
+func (t *items) unusable(status string) {
+	if often(&t.refused) {
+		t.app.log.Event("unusable_request").Str("status", status).Int("count", t.refused).Send()
+	}
+}
+
+// back: its walk past the plug-ins is over. What they declined is answered, unless it repeats what is held or ran: that
+// is not declined, whatever they say.
+func (t *items) back(it *item, w *hooks.Walk) {
+	t.app.server.Beside(-it.arrival.HeldKb)
+	if it.conn == nil {
+		t.untaken(it)
+		return
+	}
+	it.arrival.Category, it.tag = w.Category, w.Tag
+	tenant := it.tenant
+	if w.Tag != "" {
+		tenant = []byte(w.Tag)
+	}
+	if before := t.before(it); w.Declined && before == nil {
+		t.untaken(it)
+		it.answer(strconv.Itoa(w.Status)+" Declined by a plug-in", "", nil)
+		return
+	}
+	t.admit(it, tenant)
+}
+
+// untaken: it will never be the module's.
+func (t *items) untaken(it *item) {
+	delete(t.byID, it.id)
+	t.app.plugins.ends(it)
+}
+
+// stampKey names the tries of one stamped work item: no result for another category.
+func (t *items) stampKey(it *item) string {
+	if t.app.place.Terms.Categories[it.category].Effect != admission.Stamped {
+		return ""
+	}
+	return strconv.Itoa(it.category) + " " + string(it.key)
+}
+
+// before gives the stamp that a work item repeats.
+func (t *items) before(it *item) *stamp {
+	m := t.stamps[t.stampKey(it)]
+	if m != nil && m.owner == nil && it.reached >= m.until {
+		t.drop(m)
+		return nil
+	}
+	return m
+}
+
+// admit hands a work item to the module.
+func (t *items) admit(it *item, tenant []byte) {
+	a, arrival := t.app, it.arrival
+	key, before := t.stampKey(it), (*stamp)(nil)
+	var print [sha256.Size]byte
+	if key != "" {
+		print = sha256.Sum256(it.body)
+		if before = t.before(it); before != nil && before.body != print {
+			status := "422 Once-Key with another body" // neither shares the result nor takes the place of the true one
+			t.unusable(status)
+			t.untaken(it)
+			it.answer(status, "", nil)
+			return
+		}
+	}
+	arrival.Unread = max(0, a.now-it.reached)
+	arrival.Left = max(1, it.until-a.now) // told, however little
+	if a.ledger != nil {
+		it.claim = a.ledger.Open(tenant, it.category, a.server.Turn(), a.now)
+		arrival.Turn, arrival.Behind = it.claim.Turn, it.claim.Behind
+	}
+	it.key, it.tenant = nil, nil
 	if n := len(t.spare); n > 0 {
 		it.door, t.spare = t.spare[n-1], t.spare[:n-1]
 		t.slots[it.door] = it
@@ -150,7 +220,7 @@
 	it.handle = a.server.Take(arrival)
 	if key != "" && !it.shares && !it.over && it.conn != nil {
 		if before := t.stamps[key]; before != nil { // the module had it take the place of the one held
-			t.app.must(!before.ran, "a stamp that ran is replaced")
+			a.must(!before.ran, "a stamp that ran is replaced")
 			t.drop(before)
 		}
 		m := &stamp{key: key, body: print, owner: it, until: never}
@@ -189,74 +259,72 @@
 
 // read makes an arrival of the parameters, or gives the status that tells what is wrong with them. What the settings
 // name is the measure: nothing that they do not know, or that no router could mean, reaches the module.
-func (t *items) read(c *router, s *fastcgi.Stream) (it *item, arrival admission.Arrival, reached admission.Tenths,
-	tenant []byte, bad string) {
+func (t *items) read(c *router, s *fastcgi.Stream) (it *item, bad string) {
 	terms := t.app.place.Terms
 	var f [fieldRemote + 1][]byte
 	twice := s.Fields(fieldNames, f[:])
 	it = &item{id: string(f[fieldID])}
 	path, isPath := bytes.CutPrefix(f[fieldPath], []byte("/rpc/"))
 	if !isPath {
-		return it, arrival, 0, nil, "404 Unknown path"
+		return it, "404 Unknown path"
 	}
 	category, known := terms.Named[string(path)]
 	if !known {
-		return it, arrival, 0, nil, "404 Unknown category"
+		return it, "404 Unknown category"
 	}
 	if string(f[fieldMethod]) != "POST" {
-		return it, arrival, 0, nil, "405 Method"
+		return it, "405 Method"
 	}
 	if len(s.Body) > mostBody {
-		return it, arrival, 0, nil, tooLong
+		return it, tooLong
 	}
 	if length := f[fieldLength]; len(length) > 0 && string(length) != strconv.Itoa(len(s.Body)) {
-		return it, arrival, 0, nil, "400 Content-Length"
+		return it, "400 Content-Length"
 	}
 	if twice {
-		return it, arrival, 0, nil, "400 A field came twice"
+		return it, "400 A field came twice"
 	}
 	of := &terms.Categories[category]
-	it.category, arrival.Category = category, category
+	it.category, it.arrival.Category = category, category
 	if _, err := strconv.ParseUint(it.id, 16, 64); err != nil || len(it.id) != 16 {
-		return it, arrival, 0, nil, "400 Request-Id is not 16 hex digits"
+		return it, "400 Request-Id is not 16 hex digits"
 	}
 	if t.byID[it.id] != nil {
-		return it, arrival, 0, nil, "400 Request-Id is in hand already"
+		return it, "400 Request-Id is in hand already"
 	}
 	stampedAt, err := strconv.ParseInt(string(f[fieldReached]), 10, 64)
 	if now := int64(t.app.now / 10); err != nil || stampedAt < 0 || stampedAt > now+ahead {
-		return it, arrival, 0, nil, "400 Received-At"
+		return it, "400 Received-At"
 	}
 	budget, ok := number(f[fieldBudget], 0, float64(of.Expiry)/10*budgets)
 	if !ok {
-		return it, arrival, 0, nil, "400 Budget-Ms"
+		return it, "400 Budget-Ms"
 	}
 	caller, err := strconv.ParseUint(string(f[fieldCaller]), 10, 20)
 	if err != nil {
-		return it, arrival, 0, nil, "400 Sent-By"
+		return it, "400 Sent-By"
 	}
 	held, ok := number(f[fieldHeld], 0, 2000)
 	if !ok || held == 0 {
-		return it, arrival, 0, nil, "400 Footprint-Kb"
+		return it, "400 Footprint-Kb"
 	}
 	if _, ok = number(f[fieldRank], 0, 1); !ok {
-		return it, arrival, 0, nil, "400 Priority-Rank"
+		return it, "400 Priority-Rank"
 	}
 	if !terms.Tenant(f[fieldTenant]) {
-		return it, arrival, 0, nil, "400 Account"
+		return it, "400 Account"
 	}
 	if n := len(f[fieldKey]); of.Effect == admission.Stamped && n == 0 || n > mostKey {
-		return it, arrival, 0, nil, "400 Once-Key"
+		return it, "400 Once-Key"
 	}
 	it.key = f[fieldKey]
-	reached = admission.Tenths(stampedAt * 10)
-	arrival.Caller, arrival.HeldKb = int(caller), held
-	arrival.Unread = max(0, t.app.now-reached)
-	arrival.Left = max(1, reached+deployment.Down(budget)-t.app.now) // told, however little
-	if tenant = f[fieldTenant]; t.app.place.Tenancy != nil {
-		tenant = []byte(t.app.place.Tenancy.Tenant(c.peerAddress(), f[fieldRemote]))
-	}
-	return it, arrival, reached, tenant, ""
+	it.reached = admission.Tenths(stampedAt * 10)
+	it.until = it.reached + deployment.Down(budget)
+	it.arrival.Caller, it.arrival.HeldKb = int(caller), held
+	if it.tenant = f[fieldTenant]; t.app.place.Tenancy != nil {
+		it.tenant = []byte(t.app.place.Tenancy.Tenant(c.peerAddress(), f[fieldRemote]))
+	}
+	return it, ""
 }
 
 func (t *items) drop(m *stamp) {
@@ -322,7 +390,9 @@
 // gone: nobody waits for it any more.
 func (it *item) gone() {
 	it.leave()
-	it.handle.Gone()
+	if it.handle != nil { // else it is on its walk past the plug-ins, which ends by itself
+		it.handle.Gone()
+	}
 }
 
 // neverBegun: it is proven that nothing of it ran, so its stamp is free for another try. Where the run has been heard
@@ -346,6 +416,14 @@
 	}
 	it.ended = true
 	it.app.index.giveUp(it)
+	it.claim.Called(it.app.now) // off the cores, whatever is done with its result
+	if how != admission.Well || !it.app.plugins.review(it, result, func(w *hooks.Walk) { it.settle(how, took, w.Body) }) {
+		it.settle(how, took, result)
+	}
+}
+
+// settle answers with the end of its run and closes the books on it.
+func (it *item) settle(how admission.Outcome, took admission.Tenths, result []byte) {
 	switch how {
 	case admission.Well:
 		it.answer("200 OK", "", result)
@@ -445,7 +523,7 @@
 	t.app.index.giveUp(it)
 	t.slots[it.door] = nil
 	t.spare = append(t.spare, it.door)
-	delete(t.byID, it.id)
+	t.untaken(it)
 	it.body = nil
 }
 
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -40,6 +40,7 @@
 	Seed                                        int64
 	Fair                                        *ledger.Terms  // nil: no fair queues
 	Tenancy                                     *tenancy.Table // nil: tenants go by account
+	Plugins                                     *Plugins       // nil: there are none
 }
 
 const (
@@ -80,6 +81,7 @@
 	interpreter interpreter
 	index       index
 	directory   directory
+	plugins     plugins
 	orders      chan func()      // from outside the loop: to leave, to move
 	stop        admission.Tenths // when all must be answered, never before the notice to leave
 	ending      bool
@@ -103,6 +105,7 @@
 	a.items.start(a)
 	a.interpreter.start(a)
 	a.directory.start(a)
+	a.plugins.start(a)
 	return a
 }
 
@@ -149,6 +152,13 @@
 // Move is a new configuration: the addresses of the other parties change, while what is in hand stays.
 func (a *App) Move(p Place) { a.orders <- func() { a.move(p) } }
 
+// Kept gives what plug-ins keep, for a process that is begun outside the loop. It waits for the loop.
+func (a *App) Kept() map[string]map[string][]byte {
+	kept := make(chan map[string]map[string][]byte, 1)
+	a.orders <- func() { kept <- a.plugins.snapshot() }
+	return <-kept
+}
+
 // OnBoot knocks at the own door, as only a connection tells which loop there is.
 func (a *App) OnBoot(gnet.Engine) gnet.Action {
 	go func() {
@@ -220,6 +230,9 @@
 	}()
 	a.interpreter.dial()
 	a.directory.report()
+	if a.place.Plugins != nil {
+		a.plugins.adopt(a.place.Plugins)
+	}
 	a.state.ring = a.tell
 	a.set(&a.state, a.now+stateEvery)
 	a.log.Event("listening").Str("name", a.place.Name).Str("address", a.place.Listen).Int("connections", a.routers.most).Send()
@@ -393,6 +406,10 @@
 		a.fair()
 	}
 	a.place.Tenancy = p.Tenancy
+	if p.Plugins != before.Plugins { // the same where nothing about them changed
+		a.place.Plugins = p.Plugins
+		a.plugins.adopt(p.Plugins)
+	}
 	if before.Interpreter != p.Interpreter {
 		a.interpreter.move()
 	}
@@ -422,6 +439,7 @@
 			e.Int("fair_books", f.Books).Int("fair_groups", f.Groups).Int("fair_candidates", f.Heard).
 				Int("fair_core_percent", int(100*f.Rate))
 		}
+		a.plugins.tell(e)
 	}).Send()
 	a.set(&a.state, a.now+stateEvery)
 }
--- a/internal/faults/yaml.go
+++ b/internal/faults/yaml.go
@@ -124,6 +124,9 @@
 		}
 		return
 	}
+	if d, is := v.Addr().Interface().(interface{ Default() }); is && v.IsZero() {
+		d.Default()
+	}
 	switch v.Kind() {
 	case reflect.Struct:
 		l.section(n, v, path, depth)
--- a/internal/plugin/process.go
+++ b/internal/plugin/process.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -15,6 +16,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,12 +45,13 @@
 	FrameKeep  = frameKeep
 	FrameCount = frameCount
 
-	header    = 1 + 2 + 8
-	MostFrame = 64 << 10
-	mostSpec  = 16 << 20
-	queue     = 256
-	niceness  = 10
-	guard     = 50 * time.Millisecond // the memory is looked at so often
+	header      = 1 + 2 + 8
+	MostFrame   = 64 << 10
+	mostSpec    = 16 << 20
+	queue       = 256
+	niceness    = 10
+	runtimeRoom = 128 << 20             // that Go maps for itself, and does not use
+	guard       = 50 * time.Millisecond // the memory is looked at so often
 )
 
 // How a call ended.
@@ -193,7 +196,8 @@
 	most := uint64(s.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(most * 3 / 4))
 	debug.SetGCPercent(50)
-	_ = unix.Setrlimit(unix.RLIMIT_DATA, &unix.Rlimit{Cur: 2*most + 64<<20, Max: 2*most + 64<<20})
+	data := mapped() + 2*most + runtimeRoom
+	_ = unix.Setrlimit(unix.RLIMIT_DATA, &unix.Rlimit{Cur: data, Max: data})
 	go func() {
 		for range time.Tick(guard) {
 			if resident() > most {
@@ -204,13 +208,20 @@
 	}()
 }
 
-func resident() uint64 {
+// resident and mapped are what the process holds in memory and what it could write to.
+func resident() uint64 { return ofStatm(1) }
+func mapped() uint64   { return ofStatm(5) }
+
+func ofStatm(column int) uint64 {
 	text, err := os.ReadFile("/proc/self/statm")
 	if err != nil {
 		return 0
 	}
-	var size, pages uint64
-	fmt.Sscan(string(text), &size, &pages)
+	fields := bytes.Fields(text)
+	if column >= len(fields) {
+		return 0
+	}
+	pages, _ := strconv.ParseUint(string(fields[column]), 10, 64)
 	return pages * uint64(os.Getpagesize())
 }
 
--- a/internal/plugin/start.go
+++ b/internal/plugin/start.go
@@ -43,17 +43,19 @@
 		return nil, err
 	}
 	ours, theirs := os.NewFile(uintptr(pair[0]), "plug-ins"), os.NewFile(uintptr(pair[1]), "app server")
-	defer theirs.Close()
 	conn, err := net.FileConn(ours)
 	ours.Close()
 	if err != nil {
+		theirs.Close()
 		return nil, err
 	}
 	p := &Process{Spec: spec, Conn: conn, Command: exec.Command(program, Command)}
 	p.Command.ExtraFiles = []*os.File{theirs} // the first is descriptor 3
 	p.Command.Stderr = errs
 	begun := time.Now()
-	if err := p.Command.Start(); err != nil {
+	err = p.Command.Start()
+	theirs.Close() // else its end would not be seen here
+	if err != nil {
 		conn.Close()
 		return nil, err
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,6 +19,7 @@
 // Terms are what one file sets. Its zero value is what holds without a file: all is off.
 type Terms struct {
 	FairQueues *FairQueues `yaml:"fair_queues"`
+	Plugins    *Plugins    `yaml:"plugins"`
 	file       string
 	places     faults.Places
 }
@@ -106,8 +107,8 @@
 	if t.places, err = faults.YAML(bytes.NewReader(text), t); err != nil {
 		return nil, faults.Of(err).In(file)
 	}
-	if err := t.FairQueues.check(); err != nil {
-		return nil, t.places.Locate(faults.Of(err)).In(file)
+	if l := append(faults.Of(t.FairQueues.check()), faults.Of(t.Plugins.check(file))...); len(l) > 0 {
+		return nil, t.places.Locate(l).In(file)
 	}
 	return t, nil
 }
@@ -141,10 +142,11 @@
 	return l.Or()
 }
 
-// Against checks the sections against the platform's settings, which go together only if both can be meant.
-func (t *Terms) Against(of *deployment.Terms) error {
-	var l faults.List
-	if f := t.FairQueues; f != nil && f.By == "account" {
+// Against checks the sections against the platform's settings and the program's memory in bytes: they go together only
+// if both can be meant.
+func (t *Terms) Against(of *deployment.Terms, memory int) error {
+	l := t.Plugins.against(of, memory)
+	if f := t.FairQueues; f != nil && f.By == "account" && !t.Plugins.tags() {
 		for i, tenant := range f.Tenants {
 			if !of.Tenant([]byte(tenant.Name)) {
 				l.Add(fmt.Sprintf("fair_queues.tenants[%d].name", i), "a tenant of the platform's settings", "%q is none", tenant.Name)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -10,6 +10,8 @@
 	"math"
 	"math/rand"
 	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Stream is one tenant's work, or that of many who share a habit.
@@ -98,8 +100,11 @@
 	Tenant                                 string
 	Asked, Fulfilled, Late, Declined, Lost int
 	AskedWork, AskedGain, Gain             float64
-	Entitled                               float64 // gain that its part of the server's work would have earned
-	Backs, BacksTaken                      int     // came back when told, and were run then
+	Entitled                               float64                 // gain that its part of the server's work would have earned
+	Backs, BacksTaken                      int                     // came back when told, and were run then
+	Overdue                                int                     // answered after their expiry
+	Refused                                int                     // answered with a status of a plug-in's own
+	Times                                  *hdrhistogram.Histogram // of answers, in microseconds
 	share                                  float64
 }
 
@@ -127,7 +132,7 @@
 	all := &Accounts{named: map[string]*Account{}}
 	for _, s := range streams {
 		if all.named[s.Tenant] == nil {
-			all.named[s.Tenant] = &Account{Tenant: s.Tenant, share: s.Share}
+			all.named[s.Tenant] = &Account{Tenant: s.Tenant, share: s.Share, Times: hdrhistogram.New(1, 60e6, 2)}
 			all.list = append(all.list, all.named[s.Tenant])
 		}
 	}
--- a/internal/standin/router.go
+++ b/internal/standin/router.go
@@ -219,7 +219,12 @@
 		if of := c.open[a.Slot]; of != nil {
 			delete(c.open, a.Slot)
 			book := s.books.Of(of.ask)
-			switch late := time.Since(of.at) > s.Contract; {
+			took := time.Since(of.at)
+			_ = book.Times.RecordValue(min(took.Microseconds(), 60e6))
+			if took > s.Expiry {
+				book.Overdue++
+			}
+			switch late := took > s.Contract; {
 			case a.Status == 200 && late:
 				book.Late++
 			case a.Status == 200:
@@ -230,6 +235,8 @@
 				if away := a.Away(); away > 0 && of.ask.Try < of.ask.Stream.Returns {
 					s.load.Again(of.ask, time.Since(s.begun).Seconds()+away.Seconds())
 				}
+			case a.Status < 500:
+				book.Refused++
 			default:
 				book.Lost++
 			}
