--- /dev/null
+++ b/hooks/scenario_test.go
@@ -0,0 +1,288 @@
+package hooks
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A scenario in testdata is played line by line; README.md there has the notation.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			f, err := os.Open(file)
+			require.NoError(t, err)
+			defer f.Close()
+			s := &scene{Assertions: require.New(t), walks: map[string]*Walk{}}
+			in := bufio.NewScanner(f)
+			for n := 1; in.Scan(); n++ {
+				line, _, _ := strings.Cut(in.Text(), "#")
+				if word := strings.Fields(line); len(word) > 0 {
+					s.step(word, fmt.Sprintf("%s:%d %s", file, n, strings.TrimSpace(line)))
+				}
+			}
+		})
+	}
+}
+
+type scene struct {
+	*require.Assertions
+	grants []Grant
+	chain  *Chain
+	walks  map[string]*Walk
+	now    Tenths
+}
+
+const categories = 3
+
+func (s *scene) number(text, where string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	s.NoError(err, where)
+	return v
+}
+
+var faultNames = map[string]Fault{"late": Late, "trap": Trap, "nonsense": Nonsense, "beyond": Beyond, "died": Died, "absent": Absent}
+
+func (s *scene) step(word []string, where string) {
+	switch word[0] {
+	case "plugin":
+		g := Grant{Name: word[1], Categories: []bool{true, true, true}, To: make([]bool, categories), Tenants: map[string]bool{},
+			Call: 50, Share: 0.5, Core: 1, Row: 3, Rate: 1, Wait: 1_000, Longest: 10_000}
+		for _, w := range word[2:] {
+			key, text, _ := strings.Cut(w, "=")
+			switch key {
+			case "read":
+				g.At[Read] = true
+			case "result":
+				g.At[Result] = true
+			case "declines":
+				g.Declines = true
+			case "tags":
+				g.Tags = true
+			case "rewrites":
+				g.Rewrites = true
+			case "alone":
+				g.Alone = true
+			case "otherwise-decline":
+				g.Otherwise = Decline
+			case "only":
+				g.Categories = make([]bool, categories)
+				g.Categories[int(s.number(text, where))] = true
+			case "tenant":
+				g.Tenants[text] = true
+			case "to":
+				g.To[int(s.number(text, where))] = true
+			case "call":
+				g.Call = Tenths(s.number(text, where) * 10)
+			case "share":
+				g.Share = s.number(text, where)
+			case "core":
+				g.Core = s.number(text, where)
+			case "row":
+				g.Row = int(s.number(text, where))
+			case "rate":
+				g.Rate = s.number(text, where)
+			default:
+				s.Fail("unknown grant", where)
+			}
+		}
+		s.grants = append(s.grants, g)
+	case "chain": // [fresh NAME]
+		fresh := map[string]bool{}
+		for _, w := range word[1:] {
+			fresh[w] = true
+		}
+		s.chain = NewChain(s.grants, s.chain, func(name string) bool { return fresh[name] }, rand.New(rand.NewSource(1)), s.now)
+		s.grants = nil
+	case "at":
+		s.now = Tenths(s.number(word[1], where) * 10)
+		if len(word) > 2 {
+			s.step(word[2:], where)
+		}
+	case "read", "result": // NAME [category=N tenant=T left=MS fixed body=TEXT] => asked plug-in, how long, or what came of it
+		it := Item{Tenant: "acme", Left: 10_000}
+		body := ""
+		i := 2
+		for ; i < len(word) && word[i] != "=>"; i++ {
+			key, text, _ := strings.Cut(word[i], "=")
+			switch key {
+			case "category":
+				it.Category = int(s.number(text, where))
+			case "tenant":
+				it.Tenant = text
+			case "left":
+				it.Left = Tenths(s.number(text, where) * 10)
+			case "fixed":
+				it.Fixed = true
+			case "body":
+				body = text
+			}
+		}
+		point := map[string]Point{"read": Read, "result": Result}[word[0]]
+		w := s.chain.Begin(point, it, []byte(body), s.now)
+		s.walks[word[1]] = w
+		s.next(w, word[i+1:], where)
+	case "says": // NAME TOOK [decline=STATUS to=N tag=T replace=TEXT] => as above
+		w := s.walks[word[1]]
+		v := Verdict{Category: -1}
+		i := 3
+		for ; i < len(word) && word[i] != "=>"; i++ {
+			key, text, _ := strings.Cut(word[i], "=")
+			switch key {
+			case "decline":
+				v.Decline, v.Status = true, int(s.number(text, where))
+			case "to":
+				v.Category = int(s.number(text, where))
+			case "tag":
+				v.HasTag, v.Tag = true, text
+			case "replace":
+				v.Replace, v.Body = true, []byte(text)
+			}
+		}
+		f, wrong, off := w.Said(v, Tenths(s.number(word[2], where)*10), s.now)
+		s.outcome(w, f, wrong, off, word[i+1:], where)
+	case "fails": // NAME FAULT TOOK => as above
+		w := s.walks[word[1]]
+		f := faultNames[word[2]]
+		off := w.Failed(f, Tenths(s.number(word[3], where)*10), s.now)
+		s.outcome(w, f, false, off, word[5:], where)
+	case "state":
+		s.Equal(strings.Join(word[2:], " "), States[s.plugin(word[1]).State], where)
+	case "under":
+		s.Equal(word[1], strconv.Itoa(s.chain.Under), where)
+	default:
+		s.Fail("unknown line", where)
+	}
+}
+
+func (s *scene) plugin(name string) *Plugin {
+	for _, p := range s.chain.Plugins {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+func (s *scene) outcome(w *Walk, f Fault, wrong, off bool, want []string, where string) {
+	var said []string
+	if wrong {
+		said = append(said, "fault:"+strings.Fields(Words[f])[0])
+	}
+	if off {
+		said = append(said, "off")
+	}
+	s.GreaterOrEqual(len(want), len(said), where)
+	s.Equal(want[:len(said)], append([]string{}, said...), where)
+	s.next(w, want[len(said):], where)
+}
+
+// next goes on with a walk and checks who is asked, for how long, or what came of it.
+func (s *scene) next(w *Walk, want []string, where string) {
+	p, within := w.Next(s.now)
+	var got []string
+	if p != nil {
+		got = []string{"ask:" + p.Name, fmt.Sprint(float64(within) / 10)}
+	} else if got = []string{"over"}; w.Declined {
+		got = append(got, fmt.Sprint("declined:", w.Status))
+	} else {
+		if w.Category != w.item.Category {
+			got = append(got, fmt.Sprint("to:", w.Category))
+		}
+		if w.Tag != "" {
+			got = append(got, "tag:"+w.Tag)
+		}
+		if w.Rewrote {
+			got = append(got, "body:"+string(w.Body))
+		}
+	}
+	s.Equal(want, got, where)
+}
+
+// FuzzWalks: whatever verdicts come, a walk ends, gives nothing that was not granted and stays within its time.
+func FuzzWalks(f *testing.F) {
+	f.Add(int64(1))
+	f.Fuzz(func(t *testing.T, seed int64) {
+		r := rand.New(rand.NewSource(seed))
+		flip := func() bool { return r.Intn(2) == 0 }
+		var grants []Grant
+		for i := range 1 + r.Intn(3) {
+			grants = append(grants, Grant{Name: fmt.Sprint(i), At: [3]bool{flip(), flip(), flip()}, Categories: []bool{flip(), flip(), flip()},
+				To: []bool{flip(), flip(), flip()}, Declines: flip(), Tags: flip(), Rewrites: flip(), Call: 50, Share: r.Float64(), Core: r.Float64(),
+				Otherwise: Otherwise(r.Intn(2)), Alone: flip(), Row: 1 + r.Intn(3), Rate: r.Float64(), Wait: 100, Longest: 1000})
+		}
+		chain := NewChain(grants, nil, func(string) bool { return true }, r, 0)
+		now := Tenths(0)
+		for range 100 {
+			now += Tenths(r.Intn(100))
+			at := Point(r.Intn(2))
+			it := Item{Category: r.Intn(3), Tenant: fmt.Sprint(r.Intn(3)), Left: Tenths(r.Intn(5000)), Fixed: flip()}
+			body := []byte("0123456789"[:r.Intn(10)])
+			w := chain.Begin(at, it, body, now)
+			begun := now
+			granted := Grant{To: make([]bool, 3)}
+			for p, within := w.Next(now); p != nil; p, within = w.Next(now) {
+				require.True(t, within > 0 && within <= p.Call && now+within <= begun+it.Left/2+1)
+				granted.Declines = granted.Declines || p.Declines
+				granted.Tags, granted.Rewrites = granted.Tags || p.Tags, granted.Rewrites || p.Rewrites
+				for i := range p.To {
+					granted.To[i] = granted.To[i] || p.To[i]
+				}
+				took := Tenths(r.Intn(int(within) + 1))
+				now += took
+				if flip() {
+					w.Failed(Fault(r.Intn(len(Words))), took, now)
+				} else {
+					w.Said(Verdict{Decline: flip(), Status: r.Intn(700), Category: r.Intn(6) - 2, HasTag: flip(), Tag: "x", Replace: flip(),
+						Body: []byte("0123456789"[:r.Intn(10)])}, took, now)
+				}
+			}
+			if w.Declined {
+				require.True(t, at == Read && (w.Status == busy || granted.Declines && w.Status >= 400 && w.Status < 500))
+			}
+			if w.Category != it.Category {
+				require.True(t, at == Read && !it.Fixed && granted.To[w.Category])
+			}
+			require.True(t, w.Tag == "" || granted.Tags)
+			require.True(t, !w.Rewrote || at == Result && granted.Rewrites && len(w.Body) < len(body))
+		}
+		require.Zero(t, chain.Under)
+	})
+}
+
+// One plug-in of many is asked.
+func BenchmarkWalk(b *testing.B) {
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint("loaded=", n), func(b *testing.B) {
+			var grants []Grant
+			for i := range n {
+				g := Grant{Name: fmt.Sprint(i), Categories: []bool{false, true}, To: []bool{false, false}, Call: 50, Share: 0.5, Core: 1, Row: 3, Rate: 1, Wait: 1, Longest: 1}
+				g.At[Read] = true
+				if i == n/2 {
+					g.Categories[0] = true
+				}
+				grants = append(grants, g)
+			}
+			chain := NewChain(grants, nil, func(string) bool { return true }, rand.New(rand.NewSource(1)), 0)
+			now := Tenths(0)
+			it := Item{Tenant: "acme", Left: 10_000}
+			for b.Loop() {
+				now += 10
+				w := chain.Begin(Read, it, nil, now)
+				for p, _ := w.Next(now); p != nil; p, _ = w.Next(now) {
+					w.Said(Verdict{Category: -1}, 0, now)
+				}
+			}
+		})
+	}
+}
--- a/internal/appserver/plugins.go
+++ b/internal/appserver/plugins.go
@@ -59,6 +59,7 @@
 	wire
 	plugins *plugins
 	terms   *Plugins
+	process *plugin.Process
 	chain   *hooks.Chain
 	carry   []byte
 	out     int  // calls that are out
@@ -90,38 +91,42 @@
 	}
 }
 
-// adopt has a process take the place of the one before: walks under way end where they began.
+// adopt has a process take the place of the one before, once the loop speaks with it: until then the old one is asked.
+// Walks under way end where they began.
 func (p *plugins) adopt(t *Plugins) {
-	old, before := p.live, p.chain
-	p.live, p.terms, p.chain = nil, t, nil
-	if old != nil {
-		old.retired = true
-		p.old = append(slices.DeleteFunc(p.old, func(h *pluginHost) bool { return h.ended }), old)
-		if old.rest(); len(p.old) > mostOld { // what began with the oldest goes on without it
-			p.old[0].shut()
-			p.old[0].closed()
-		}
+	if p.terms = t; t == nil {
+		p.retire()
+		p.chain = nil
+		return
 	}
-	if t == nil {
+	fresh := func(name string) bool { return t.Drop[name] }
+	chain := hooks.NewChain(t.Grants, p.chain, fresh, p.app.chance, p.app.now)
+	if p.live == nil { // nobody is asked meanwhile
+		p.chain = chain
+	}
+	p.enrol(t, chain)
+}
+
+// retire has no new work item begin with the live process.
+func (p *plugins) retire() {
+	old := p.live
+	if p.live = nil; old == nil {
 		return
 	}
-	for name := range t.Drop {
-		for key, value := range p.kept[name] {
-			p.bytes -= len(key) + len(value)
-		}
-		delete(p.kept, name)
+	old.retired = true
+	p.old = append(slices.DeleteFunc(p.old, func(h *pluginHost) bool { return h.ended }), old)
+	if old.rest(); len(p.old) > mostOld { // what began with the oldest goes on without it
+		p.old[0].shut()
+		p.old[0].closed()
 	}
-	p.chain = hooks.NewChain(t.Grants, before, func(name string) bool { return t.Drop[name] }, p.app.chance, p.app.now)
-	p.enrol(t)
 }
 
 // enrol has the loop speak with a process.
-func (p *plugins) enrol(t *Plugins) {
-	h := &pluginHost{plugins: p, terms: t, chain: p.chain}
+func (p *plugins) enrol(t *Plugins, chain *hooks.Chain) {
+	h := &pluginHost{plugins: p, terms: t, chain: chain, process: t.Process}
 	h.wire = wire{app: p.app, most: mostOnLink}
-	p.live = h
 	go func() {
-		enrolled, err := p.app.thread.Enroll(gnet.NewContext(context.Background(), h), t.Process.Conn)
+		enrolled, err := p.app.thread.Enroll(gnet.NewContext(context.Background(), h), h.process.Conn)
 		if err == nil {
 			err = (<-enrolled).Err
 		}
@@ -129,16 +134,31 @@
 			p.app.do(func() { h.closed() })
 		}
 	}()
-	names := make([]string, len(t.Grants))
-	for i, g := range t.Grants {
-		names[i] = g.Name
-	}
-	p.app.log.Event("plugins_ready").Str("plugins", strings.Join(names, " ")).Int64("took_ms", t.Process.Took.Milliseconds()).
-		Int("process", t.Process.Command.Process.Pid).Send()
 }
 
 func (h *pluginHost) opened(c gnet.Conn) {
-	h.conn = c
+	p := h.plugins
+	if h.conn = c; p.terms != h.terms { // others came meanwhile
+		h.retired = true
+		h.rest()
+		return
+	}
+	p.retire()
+	for name := range h.terms.Drop {
+		if h.terms.Drop[name] {
+			for key, value := range p.kept[name] {
+				p.bytes -= len(key) + len(value)
+			}
+			delete(p.kept, name)
+		}
+	}
+	p.live, p.chain = h, h.chain
+	names := make([]string, len(h.chain.Plugins))
+	for i, one := range h.chain.Plugins {
+		names[i] = one.Name
+	}
+	p.app.log.Event("plugins_ready").Str("plugins", strings.Join(names, " ")).Int64("took_ms", h.process.Took.Milliseconds()).
+		Int("process", h.process.Command.Process.Pid).Send()
 	for _, one := range h.chain.Plugins {
 		if !one.At[hooks.Tick] {
 			continue
@@ -171,7 +191,7 @@
 	for _, tick := range h.ticks {
 		p.app.unset(tick)
 	}
-	go h.terms.Process.End()
+	go h.process.End()
 	for call, k := range p.calls {
 		if k.host == h {
 			delete(p.calls, call)
@@ -180,8 +200,10 @@
 			k.failed(hooks.Died, 0)
 		}
 	}
-	if p.live == h {
-		p.live = nil
+	if p.live == h || p.terms == h.terms && !h.retired {
+		if p.live == h {
+			p.live = nil
+		}
 		if often(&p.died) {
 			p.app.log.Event("plugins_died").Int("count", p.died).Send()
 		}
@@ -208,7 +230,7 @@
 				p.app.set(&p.again, p.app.now+p.backOff.next())
 			default:
 				t.Process = process
-				p.enrol(t)
+				p.enrol(t, p.chain)
 			}
 		})
 	}()
--- a/internal/plugin/process.go
+++ b/internal/plugin/process.go
@@ -158,8 +158,8 @@
 			out.frame(FrameRefused, i, 0, []byte(err.Error()))
 			return err
 		}
+		debug.FreeOSMemory() // what compiling took
 	}
-	debug.FreeOSMemory() // what compiling took
 	out.frame(FrameReady, 0, 0, nil)
 	calls := make(chan call, queue)
 	for range spec.Workers {
