Lasting: what stamped work items write down and what a later life concludes; the store under it

Need: a restart inside the window makes the server forget that a stamped work item ran. Change: package lasting (recovery, clocks, damage, room; no I/O), internal/store (segments, groups of writes, failures of the disk), the host's part and the tools; off without its section.

--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -12,6 +12,7 @@
 	"reflect"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -21,6 +22,8 @@
 	"thistlequay/internal/logs"
 	"thistlequay/internal/plugin"
 	"thistlequay/internal/service"
+	"thistlequay/internal/store"
+	"thistlequay/lasting"
 )
 
 const (
@@ -33,6 +36,7 @@
 	Check   check   `cmd:"" help:"Check files and tell each fault with its place: the platform's JSON and our YAML."`
 	Try     try     `cmd:"" help:"Start servers with stand-ins on this machine, send ten seconds of work from four tenants, print what came of it."`
 	Plugin  plugins `cmd:"" help:"Check and run plug-ins."`
+	Store   stores  `cmd:"" help:"Look at a store, verify it, make it small."`
 	Version version `cmd:"" help:"Tell the version."`
 }
 
@@ -89,6 +93,8 @@
 	app     *appserver.App
 	section *service.Plugins // that the running ones were begun by
 	running *appserver.Plugins
+	kept    *service.Store // that the open one was opened by
+	lasting *appserver.Lasting
 	Log     logs.Format `enum:"text,json" default:"text" help:"How log lines look: ${enum}."`
 }
 
@@ -151,10 +157,53 @@
 	if p.Plugins, err = s.plugins(own.Plugins, p); err != nil {
 		return p, err
 	}
+	if p.Lasting, err = s.store(own.Store, p); err != nil {
+		return p, err
+	}
 	apply(p)
 	return p, nil
 }
 
+// store opens the store at the start. What is open stays: another section is told as one that can't change while running.
+func (s *serve) store(of *service.Store, p appserver.Place) (*appserver.Lasting, error) {
+	if s.app != nil {
+		if reflect.DeepEqual(of, s.kept) {
+			return s.lasting, nil
+		}
+		return nil, nil
+	}
+	if s.kept = of; of == nil {
+		return nil, nil
+	}
+	files, err := store.OpenDirectory(of.Path(s.Service))
+	if err != nil {
+		return nil, fmt.Errorf("the store in %s: %w", of.Path(s.Service), err)
+	}
+	var tell atomic.Pointer[func([]store.Done)]
+	terms := of.Terms(p.Terms, p.Memory)
+	terms.Answered = func(done []store.Done) {
+		if to := tell.Load(); to != nil {
+			(*to)(done)
+		}
+	}
+	opened, err := store.Open(files, terms)
+	if err != nil {
+		return nil, fmt.Errorf("the store in %s: %w", of.Path(s.Service), err)
+	}
+	log := logs.New(os.Stderr, s.Log)
+	for _, f := range opened.Found {
+		log.Event("store_damage").Str("file", f.File).Int64("offset", f.Offset).Str("what", lasting.Words[f.Damage]).Bool("lost", f.Lost).Send()
+	}
+	wait := max(0, opened.DeclineUntil-terms.Now().Wall)
+	if opened.DeclineUntil == 0 {
+		wait = 0
+	}
+	log.Event("store_open").Str("directory", of.Path(s.Service)).Int("records", opened.Records).Int("stamps", len(opened.Fates)).
+		Int64("declines_for_ms", int64(wait/10)).Send()
+	s.lasting = &appserver.Lasting{Store: opened, Tell: func(f func([]store.Done)) { tell.Store(&f) }}
+	return s.lasting, nil
+}
+
 // plugins begins a process of plug-ins where the settings or a module's bytes are others than before: it compiles them
 // and tries them on their samples, and only then anything is asked there.
 func (s *serve) plugins(of *service.Plugins, p appserver.Place) (*appserver.Plugins, error) {
--- /dev/null
+++ b/cmd/thistlequay/store.go
@@ -0,0 +1,115 @@
+package main
+
+// This file owns `thistlequay store`: what lies in a store and what a server that starts now would conclude from it.
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"thistlequay/internal/store"
+	"thistlequay/lasting"
+)
+
+type stores struct {
+	Inspect storeInspect `cmd:"" help:"List records and what a start now would conclude. Only reads."`
+	Verify  storeVerify  `cmd:"" help:"Find damage; exit code 1 where records that were made sure of may be gone. Only reads."`
+	Compact storeCompact `cmd:"" help:"Keep what repeats may still need and nothing else. The server must be down."`
+}
+
+type storeArgs struct {
+	Directory string        `arg:"" name:"DIR" help:"The directory of the store."`
+	Window    time.Duration `default:"60s" help:"The longest window of the settings."`
+	Doubt     time.Duration `default:"1m" help:"As clock_doubt in the settings."`
+}
+
+func (a *storeArgs) recovery(now lasting.Clock) *lasting.Recovery {
+	in := func(d time.Duration) lasting.Tenths { return lasting.Tenths(d / (100 * time.Microsecond)) }
+	return lasting.NewRecovery(lasting.Terms{Window: in(a.Window), Doubt: in(a.Doubt), Most: 1 << 30}, now)
+}
+
+func (a *storeArgs) scan(out io.Writer, see func(string, int64, *lasting.Record)) (store.Scanned, lasting.Clock, error) {
+	now := store.MachineClock()
+	s, err := store.Scan(store.ReadDirectory(a.Directory), a.recovery(now), now, false, see)
+	if err != nil {
+		return s, now, err
+	}
+	for _, f := range s.Found {
+		fmt.Fprintf(out, "%s offset %d: %s, lost=%v\n", f.File, f.Offset, lasting.Words[f.Damage], f.Lost)
+	}
+	wait := time.Duration(0)
+	if s.DeclineUntil > 0 {
+		wait = time.Duration(s.DeclineUntil-now.Wall) * 100 * time.Microsecond
+	}
+	fmt.Fprintf(out, "%d records, %d stamps that a repeat may still meet, unknown stamped work items declined for %v\n", s.Records, len(s.Fates), wait)
+	return s, now, nil
+}
+
+type storeInspect struct {
+	storeArgs `embed:""`
+	All       bool `help:"Each record, not only what is concluded."`
+}
+
+var kindWords = map[lasting.Kind]string{lasting.Intent: "intent", lasting.Result: "result", lasting.Void: "void", lasting.Closed: "closed"}
+
+// Run lists.
+func (i *storeInspect) Run(out io.Writer) error {
+	now := store.MachineClock()
+	s, _, err := i.scan(out, func(file string, offset int64, r *lasting.Record) {
+		if i.All {
+			fmt.Fprintf(out, "%s %d %s key=%q try=%x well=%v bytes=%d age=%v\n", file, offset, kindWords[r.Kind], r.Key, r.Try, r.Well,
+				len(r.Result), time.Duration(now.Wall-r.At.Wall)*100*time.Microsecond)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	for _, f := range s.Fates {
+		gets := "is broken off: it may have run"
+		if f.Ended {
+			gets = fmt.Sprintf("gets the kept result, %d bytes", len(f.Result))
+		}
+		if f.Ended && !f.Well {
+			gets = "is broken off, as its run was"
+		}
+		fmt.Fprintf(out, "key %q: a repeat %s, for %v\n", f.Key, gets, time.Duration(f.Until-now.Wall)*100*time.Microsecond)
+	}
+	return nil
+}
+
+type storeVerify struct {
+	storeArgs `embed:""`
+}
+
+// Run verifies.
+func (v *storeVerify) Run(out io.Writer) error {
+	s, _, err := v.scan(out, nil)
+	if err != nil {
+		return err
+	}
+	for _, f := range s.Found {
+		if f.Lost {
+			return errSaid
+		}
+	}
+	return nil
+}
+
+type storeCompact struct {
+	storeArgs `embed:""`
+}
+
+// Run compacts.
+func (c *storeCompact) Run(out io.Writer) error {
+	files, err := store.OpenDirectory(c.Directory)
+	if err != nil {
+		return err
+	}
+	defer files.Close()
+	now := store.MachineClock()
+	kept, gone, err := store.Compact(files, c.recovery(now), now)
+	if err == nil {
+		fmt.Fprintf(out, "%d stamps kept, %d segments gone\n", kept, gone)
+	}
+	return err
+}
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -12,6 +12,7 @@
 	"thistlequay/hooks"
 	"thistlequay/internal/deployment"
 	"thistlequay/internal/fastcgi"
+	"thistlequay/lasting"
 	"thistlequay/ledger"
 )
 
@@ -40,41 +41,45 @@
 
 // item is one work item, from its reading until the module is through with it.
 type item struct {
-	app       *App
-	handle    *admission.WorkItem
-	door      uint64
-	id        string
-	category  int
-	conn      *router // nil once it is answered or its caller is gone
-	stream    *fastcgi.Stream
-	key       []byte // as it came, good until it is admitted, as the next three
-	tenant    []byte
-	arrival   admission.Arrival
-	reached   admission.Tenths // the machine
-	until     admission.Tenths // its caller waits
-	who       string           // its tenant, where plug-ins are there
-	tag       string           // that one of them gave it
-	host      *pluginHost      // the process that it began with
-	body      []byte
-	taken     admission.Tenths
-	claim     ledger.Claim
-	stamp     *stamp // its own, or the one it shares
-	shares    bool
-	begun     bool // the module had it run
-	toRun     bool // the interpreter has yet to be told so
-	sent      bool // it was told, on some link
-	sentAt    admission.Tenths
-	toStop    bool
-	stopped   bool   // the interpreter was told to stop it
-	toGoOn    []byte // with this reply
-	reply     []byte // the last one passed on, until the run is heard of again
-	repliedAt admission.Tenths
-	heard     bool   // the interpreter has spoken of the run
-	doubt     bool   // a link broke before it did: the run may never have begun
-	ended     bool   // and has told its end
-	asks      []byte // the body of the call that the run waits for
-	call      *call  // its call, while that is out
-	over      bool
+	app        *App
+	handle     *admission.WorkItem
+	door       uint64
+	id         string
+	category   int
+	conn       *router // nil once it is answered or its caller is gone
+	stream     *fastcgi.Stream
+	key        []byte // as it came, good until it is admitted, as the next three
+	tenant     []byte
+	arrival    admission.Arrival
+	reached    admission.Tenths // the machine
+	until      admission.Tenths // its caller waits
+	intent     admission.Tenths // the end of its window as it was written, 0 where nothing is to be concluded
+	try        uint64           // and its number
+	limit      alarm            // while it is being written
+	lastingKey string
+	who        string      // its tenant, where plug-ins are there
+	tag        string      // that one of them gave it
+	host       *pluginHost // the process that it began with
+	body       []byte
+	taken      admission.Tenths
+	claim      ledger.Claim
+	stamp      *stamp // its own, or the one it shares
+	shares     bool
+	begun      bool // the module had it run
+	toRun      bool // the interpreter has yet to be told so
+	sent       bool // it was told, on some link
+	sentAt     admission.Tenths
+	toStop     bool
+	stopped    bool   // the interpreter was told to stop it
+	toGoOn     []byte // with this reply
+	reply      []byte // the last one passed on, until the run is heard of again
+	repliedAt  admission.Tenths
+	heard      bool   // the interpreter has spoken of the run
+	doubt      bool   // a link broke before it did: the run may never have begun
+	ended      bool   // and has told its end
+	asks       []byte // the body of the call that the run waits for
+	call       *call  // its call, while that is out
+	over       bool
 }
 
 // stamp is what is known of the tries of one stamped work item.
@@ -122,7 +127,7 @@
 		it.key, it.tenant = bytes.Clone(it.key), bytes.Clone(it.tenant) // a buffer is used again
 		a.server.Beside(it.arrival.HeldKb)
 	}, func(w *hooks.Walk) { t.back(it, w) }) {
-		t.admit(it, it.tenant)
+		t.proceed(it, it.tenant)
 	}
 	if s.Body != nil {
 		c.Free(s.Body)
@@ -154,7 +159,7 @@
 		it.answer(strconv.Itoa(w.Status)+" Declined by a plug-in", "", nil)
 		return
 	}
-	t.admit(it, tenant)
+	t.proceed(it, tenant)
 }
 
 // untaken: it will never be the module's.
@@ -181,6 +186,13 @@
 	return m
 }
 
+// proceed hands a work item to the module, once what must be written before has been.
+func (t *items) proceed(it *item, tenant []byte) {
+	if !t.app.keeping.intend(it, tenant) {
+		t.admit(it, tenant)
+	}
+}
+
 // admit hands a work item to the module.
 func (t *items) admit(it *item, tenant []byte) {
 	a, arrival := t.app, it.arrival
@@ -191,6 +203,7 @@
 		if before = t.before(it); before != nil && before.body != print {
 			status := "422 Once-Key with another body" // neither shares the result nor takes the place of the true one
 			t.unusable(status)
+			t.app.keeping.conclude(it, lasting.Void, false, nil)
 			t.untaken(it)
 			it.answer(status, "", nil)
 			return
@@ -202,7 +215,7 @@
 		it.claim = a.ledger.Open(tenant, it.category, a.server.Turn(), a.now)
 		arrival.Turn, arrival.Behind = it.claim.Turn, it.claim.Behind
 	}
-	it.key, it.tenant = nil, nil
+	it.key, it.tenant, it.lastingKey = nil, nil, key
 	if n := len(t.spare); n > 0 {
 		it.door, t.spare = t.spare[n-1], t.spare[:n-1]
 		t.slots[it.door] = it
@@ -435,6 +448,11 @@
 			m.result = result
 		}
 		it.app.items.release(m)
+		if how == admission.NeverBegun {
+			it.app.keeping.conclude(it, lasting.Void, false, nil)
+		} else if m.owner == it {
+			it.app.keeping.conclude(it, lasting.Result, m.well, m.result)
+		}
 	}
 	it.handle.RunEnded(how, took)
 }
@@ -514,6 +532,11 @@
 	it := t.of(w)
 	it.over = true
 	it.claim.Close(t.app.now)
+	if !it.begun {
+		t.app.keeping.conclude(it, lasting.Void, false, nil)
+	} else {
+		t.app.keeping.conclude(it, lasting.Result, false, nil) // it may have run
+	}
 	t.app.must(it.conn == nil, "over without an answer")
 	if m := it.stamp; m != nil && m.owner == it {
 		if m.owner = nil; !m.ran {
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -41,6 +41,7 @@
 	Fair                                        *ledger.Terms  // nil: no fair queues
 	Tenancy                                     *tenancy.Table // nil: tenants go by account
 	Plugins                                     *Plugins       // nil: there are none
+	Lasting                                     *Lasting       // nil: nothing outlives the process
 }
 
 const (
@@ -82,6 +83,7 @@
 	index       index
 	directory   directory
 	plugins     plugins
+	keeping     keeping
 	orders      chan func()      // from outside the loop: to leave, to move
 	stop        admission.Tenths // when all must be answered, never before the notice to leave
 	ending      bool
@@ -106,6 +108,7 @@
 	a.interpreter.start(a)
 	a.directory.start(a)
 	a.plugins.start(a)
+	a.keeping.start(a, p.Lasting)
 	return a
 }
 
@@ -378,11 +381,13 @@
 	left := max(0, a.place.StopIn-min(leaveEarly, a.place.StopIn/4))
 	a.log.Event("leaving").Str("name", a.place.Name).Int64("within_ms", int64(left/10)).Int("in_hand", a.items.inHand()).Send()
 	a.stop = a.now + left
+	a.keeping.leave()
 	a.tellLeave()
 	a.directory.report()
 	a.set(&alarm{ring: func() {
 		a.routers.closeAll()
-		a.set(&alarm{ring: a.end}, a.now+(a.place.StopIn-left)/2)
+		half := (a.place.StopIn - left) / 2
+		a.keeping.end(half, func() { a.set(&alarm{ring: a.end}, a.now+half/2) })
 	}}, a.stop)
 }
 
@@ -391,6 +396,7 @@
 	var kept []string
 	for name, differs := range map[string]bool{"name": p.Name != a.place.Name, "listen": p.Listen != a.place.Listen,
 		"stop_ms": p.StopIn != a.place.StopIn, "sockets": p.Sockets != a.place.Sockets,
+		"store":    p.Lasting != a.place.Lasting,
 		"settings": !reflect.DeepEqual(p.Terms.Deployment, a.place.Terms.Deployment)} {
 		if differs {
 			kept = append(kept, name)
@@ -440,6 +446,7 @@
 				Int("fair_core_percent", int(100*f.Rate))
 		}
 		a.plugins.tell(e)
+		a.keeping.tell(e)
 	}).Send()
 	a.set(&a.state, a.now+stateEvery)
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 type Terms struct {
 	FairQueues *FairQueues `yaml:"fair_queues"`
 	Plugins    *Plugins    `yaml:"plugins"`
+	Store      *Store      `yaml:"store"`
 	file       string
 	places     faults.Places
 }
