--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -207,7 +207,7 @@
 	require.Zero(t, promised)
 	require.NoError(t, ill)
 	clock.lock.Lock()
-	clock.now().Wall += 2 * window
+	clock.c.Wall += 2 * window
 	clock.lock.Unlock()
 	require.Eventually(t, func() bool { return l.intend("later", clock.now().Wall+window) }, 20*time.Second, time.Millisecond)
 	l.close()
