--- /dev/null
+++ b/cmd/thistlequay/lasting_test.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/standin"
+)
+
+func storeIn(directory, more string) string {
+	return fmt.Sprintf("store:\n  directory: %s\n  fresh: true\n%s", directory, more)
+}
+
+// reborn starts another life of the server, with an interpreter of its own.
+func (r *rig) reborn(t *testing.T, config string) *standin.Interpreter {
+	vm, err := standin.NewInterpreter(4, 1)
+	r.NoError(err)
+	t.Cleanup(vm.Close)
+	r.config = strings.Replace(config, r.vm.Address, vm.Address, 1)
+	r.run()
+	r.Eventually(func() bool { return strings.Contains(logOf(r), "interpreter_up") }, patience, time.Millisecond)
+	return vm
+}
+
+// bookAs sends one try of a stamped work item.
+func (c *router) bookAs(slot uint16, key string) {
+	with := fields(c.r.id())
+	with["HTTP_ONCE_KEY"] = key
+	c.ask(slot, "/rpc/book", "1 entry "+key, with)
+}
+
+// A hundred lives, each killed at a seeded moment while three tries a key come, of keys of this life and of lives before: no
+// key runs twice, and whoever is told that it was done is told the same.
+func TestMeasuredStoreLives(t *testing.T) {
+	r := prepare(t)
+	config := r.config
+	r.service = storeIn(filepath.Join(t.TempDir(), "store"), "  durability: process\n")
+	chance := rand.New(rand.NewSource(7))
+	lives, fresh := 100, 4
+	if os.Getenv("MEASURE") == "full" {
+		lives = 500
+	}
+	runs, told, answers, keys := map[string]int{}, map[string]string{}, 0, 0
+	for life := range lives {
+		vm := r.reborn(t, config)
+		var asked []string
+		for range fresh {
+			keys++
+			asked = append(asked, fmt.Sprint("key-", keys))
+		}
+		for range min(life, 4) {
+			asked = append(asked, fmt.Sprint("key-", max(1, keys-chance.Intn(30))))
+		}
+		type got struct {
+			key string
+			standin.Answer
+		}
+		came := make(chan got, 100)
+		ends := make(chan struct{}, 3)
+		for range 3 {
+			c := r.router()
+			for slot, key := range asked {
+				c.bookAs(uint16(slot+1), key)
+			}
+			go func() {
+				for {
+					a, err := c.Answer()
+					if err != nil {
+						ends <- struct{}{}
+						return
+					}
+					came <- got{asked[a.Slot-1], a}
+				}
+			}()
+		}
+		for range chance.Intn(3 * len(asked)) { // then it is killed
+			a := <-came
+			answers++
+			if a.Status == 200 {
+				if before, known := told[a.key]; known {
+					r.Equal(before, a.Body)
+				}
+				told[a.key] = a.Body
+			}
+		}
+		r.NoError(r.process.Process.Kill())
+		<-r.ended
+		for range 3 {
+			<-ends
+		}
+		vm.Look(func(v *standin.Interpreter) {
+			for body, n := range v.Keys {
+				runs[body] += n
+			}
+		})
+		vm.Close()
+	}
+	double := 0
+	for _, n := range runs {
+		double += n - 1
+	}
+	t.Logf("measured store-lives lives=%d keys=%d runs=%d answers=%d fulfilled_keys=%d double_runs=%d", lives, keys, len(runs), answers, len(told), double)
+	r.Zero(double)
+	r.Greater(len(told), keys/8)
+}
+
+// A repeat after a restart gets the first answer, one with another body is refused, a second server on the directory does not
+// start, and the tools tell what lies there.
+func TestStoreOverARestart(t *testing.T) {
+	r := prepare(t)
+	directory := filepath.Join(t.TempDir(), "store")
+	r.service = storeIn(directory, "")
+	config := r.config
+	vm := r.reborn(t, config)
+	c := r.router()
+	c.bookAs(1, "k")
+	c.answered(1, 200, "result of 1 entry k")
+	second := prepare(t)
+	second.service = r.service
+	second.run()
+	code, log := second.exit()
+	r.Equal(exitFailed, code)
+	r.Contains(log, "another process has this store")
+	r.NoError(r.process.Process.Signal(syscall.SIGTERM))
+	code, _ = r.exit()
+	r.Zero(code)
+	vm.Close()
+	r.reborn(t, config)
+	r.Contains(logOf(r), "event=store_open")
+	c = r.router()
+	c.bookAs(1, "k")
+	c.answered(1, 200, "result of 1 entry k")
+	with := fields(r.id())
+	with["HTTP_ONCE_KEY"] = "k"
+	c.ask(2, "/rpc/book", "another body", with)
+	c.answered(2, 422, "")
+	c.bookAs(3, "new")
+	c.answered(3, 200, "result of 1 entry new")
+	tool := func(args ...string) (int, string) {
+		var out bytes.Buffer
+		code := command(append([]string{"store"}, args...), &out, &out)
+		return code, out.String()
+	}
+	code, out := tool("inspect", "--all", directory)
+	r.Zero(code)
+	r.Contains(out, `gets the kept result, 19 bytes`)
+	r.Contains(out, "intent key=")
+	code, _ = tool("verify", directory)
+	r.Zero(code)
+	code, out = tool("compact", directory)
+	r.Equal(exitFailed, code)
+	r.Contains(out, "another process")
+	r.NoError(r.process.Process.Signal(syscall.SIGTERM))
+	r.exit()
+	code, out = tool("compact", directory)
+	r.Zero(code, out)
+	r.Contains(out, "2 stamps kept")
+	files, err := filepath.Glob(filepath.Join(directory, "*.seg"))
+	r.NoError(err)
+	r.Len(files, 1)
+	text, err := os.ReadFile(files[0])
+	r.NoError(err)
+	text[len(text)/2] ^= 1
+	r.NoError(os.WriteFile(files[0], text, 0o600))
+	code, out = tool("verify", directory)
+	r.Equal(exitFailed, code)
+	r.Contains(out, "garbled, lost=true")
+	// What may be lost is declined, with a return time; what is harmless is served.
+	r.reborn(t, config)
+	r.Contains(logOf(r), "event=store_damage")
+	c = r.router()
+	c.bookAs(1, "never heard of")
+	_, status, headers, _ := c.answer()
+	r.Equal(503, status)
+	r.Contains(headers, "Back-Off-Ms: 1000")
+	c.look(2, "1 harmless")
+	c.answered(2, 200, "result of 1 harmless")
+}
+
+// What stamped work items pay for their intents, and harmless ones beside them.
+func TestMeasuredStoreLatency(t *testing.T) {
+	n := 150
+	if os.Getenv("MEASURE") == "full" {
+		n = 5_000
+	}
+	base := map[string]*hdrhistogram.Histogram{}
+	for _, mode := range []string{"none", "process", "machine"} {
+		r := prepare(t)
+		if mode != "none" {
+			r.service = storeIn(filepath.Join(t.TempDir(), "store"), "  durability: "+mode+"\n")
+		}
+		config := r.config
+		r.reborn(t, config)
+		c := r.router()
+		times := map[string]*hdrhistogram.Histogram{"stamped": hdrhistogram.New(1, 60e6, 3), "harmless": hdrhistogram.New(1, 60e6, 3)}
+		begun := time.Now()
+		for i := range n {
+			at := time.Now()
+			c.bookAs(1, fmt.Sprint("key-", i))
+			c.answered(1, 200, fmt.Sprint("result of 1 entry key-", i))
+			r.NoError(times["stamped"].RecordValue(time.Since(at).Microseconds()))
+			at = time.Now()
+			c.look(2, "1 harmless")
+			c.answered(2, 200, "result of 1 harmless")
+			r.NoError(times["harmless"].RecordValue(time.Since(at).Microseconds()))
+		}
+		if mode == "none" {
+			base = times
+		}
+		t.Logf("measured store-latency mode=%s pairs_a_second=%.0f stamped_p50_us=%d stamped_p99_us=%d added_p50_us=%d harmless_p50_ratio=%.2f", mode,
+			float64(n)/time.Since(begun).Seconds(), times["stamped"].ValueAtQuantile(50), times["stamped"].ValueAtQuantile(99),
+			times["stamped"].ValueAtQuantile(50)-base["stamped"].ValueAtQuantile(50),
+			float64(times["harmless"].ValueAtQuantile(50))/float64(base["harmless"].ValueAtQuantile(50)))
+		require.False(t, strings.Contains(logOf(r), "store_declines"))
+	}
+}
