--- a/admission/admission.go
+++ b/admission/admission.go
@@ -133,6 +133,14 @@
 		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale)}
 	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1,
 		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]caller{}}
+	if d.Learnt != nil { // the guards hold whatever it says: they are the server's own
+		s.pool.size = max(cores, min(d.Learnt.Pool, cores*d.Crowd))
+		s.calls.quick.teach(d.Learnt.Quick)
+		for i, c := range s.categories[:min(len(s.categories), len(d.Learnt.Runs), len(d.Learnt.Quiet))] {
+			c.runs.teach(d.Learnt.Runs[i])
+			c.quiet.teach(d.Learnt.Quiet[i])
+		}
+	}
 	host.CloseIdle(Tenths(math.Ceil(math.Pow(min(1, linked*cores/many), 2) * float64(d.IdleMost))))
 	host.Health(true, true)
 	return s
@@ -140,6 +148,9 @@
 
 func (s *Server) At(now Tenths) { s.now = max(s.now, now) }
 
+// Learnt is what the next life of the server need not find out again.
+func (s *Server) Learnt() Learnt { return learntOf(s.pool.size, s.categories, &s.calls.quick) }
+
 // Beside books memory that work items take which have been read and are not taken yet; less than 0 gives it back.
 func (s *Server) Beside(kb float64) { s.memory += kb }
 
--- a/admission/books.go
+++ b/admission/books.go
@@ -61,6 +61,20 @@
 	return Tenths(i) * s.width
 }
 
+// learnt and teach copy counts out and in; those that are no counts of this shape are passed over.
+func (s *spread) learnt() []float64 { return append([]float64(nil), s.count[:]...) }
+
+func (s *spread) teach(counts []float64) {
+	if len(counts) != bins {
+		return
+	}
+	for i, c := range counts {
+		if c >= 0 && s.n+c < enough {
+			s.count[i], s.n = c, s.n+c
+		}
+	}
+}
+
 type moments []*WorkItem
 
 func (m moments) Len() int           { return len(m) }
@@ -72,3 +86,11 @@
 	*m, w.place = (*m)[:len(*m)-1], -1
 	return w
 }
+
+func learntOf(pool float64, categories []*category, quick *spread) Learnt {
+	l := Learnt{Pool: pool, Quick: quick.learnt()}
+	for _, c := range categories {
+		l.Runs, l.Quiet = append(l.Runs, c.runs.learnt()), append(l.Quiet, c.quiet.learnt())
+	}
+	return l
+}
--- a/admission/host.go
+++ b/admission/host.go
@@ -72,6 +72,15 @@
 	MaxAway  Tenths // the longest time to stay away that callers heed; 0 where advice is not passed on
 	IdleMost Tenths // callers close idle connections after this; 0 where that is not told
 	Stops    bool   // running work can be stopped, its progress is lost
+
+	Learnt *Learnt // by an earlier life, as far as it still holds; nil where there is none
+}
+
+// Learnt is what a server has found out that the next one need not: counts of times, by category and bin, and the pool.
+type Learnt struct {
+	Pool        float64
+	Runs, Quiet [][]float64
+	Quick       []float64 // calls
 }
 
 // Arrival is what a work item says of itself when it has been read.
--- a/cmd/thistlequay/lasting_test.go
+++ b/cmd/thistlequay/lasting_test.go
@@ -137,6 +137,7 @@
 	vm.Close()
 	r.reborn(t, config)
 	r.Contains(logOf(r), "event=store_open")
+	r.Regexp("event=warm_start .*taken=true", logOf(r))
 	c = r.router()
 	c.bookAs(1, "k")
 	c.answered(1, 200, "result of 1 entry k")
--- a/cmd/thistlequay/store.go
+++ b/cmd/thistlequay/store.go
@@ -50,7 +50,7 @@
 	All       bool `help:"Each record, not only what is concluded."`
 }
 
-var kindWords = map[lasting.Kind]string{lasting.Intent: "intent", lasting.Result: "result", lasting.Void: "void", lasting.Closed: "closed"}
+var kindWords = map[lasting.Kind]string{lasting.Intent: "intent", lasting.Result: "result", lasting.Void: "void", lasting.Closed: "closed", lasting.Learnt: "learnt"}
 
 // Run lists.
 func (i *storeInspect) Run(out io.Writer) error {
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -305,6 +305,7 @@
 		terms.Cold = state == "COLD"
 		// Stamps and results lie in this process's memory, not in the interpreter's that the settings speak of.
 		terms.EntryKb, terms.Entries = 0, max(1, a.place.Memory/stampsPart/stampSize-a.keeping.recalled())
+		terms.Learnt = a.keeping.begin()
 		a.server = admission.New(terms, &a.items, a.now-since)
 		a.server.At(a.now)
 		a.log.Event("interpreter_up").Str("name", a.place.Name).Str("state", state).Int64("since_ms", int64(since/10)).Send()
--- a/internal/appserver/lasting.go
+++ b/internal/appserver/lasting.go
@@ -4,10 +4,13 @@
 
 import (
 	"crypto/sha256"
+	"encoding/json"
+	"fmt"
 	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/xxh3"
 
 	"thistlequay/admission"
 	"thistlequay/internal/store"
@@ -202,3 +205,32 @@
 	e.Int64("store_bytes", used).Int64("store_promised", promised).Int("store_records", records).Int("store_waits", len(k.waits)).
 		Int("store_full", k.full).Int("store_late", k.late).Bool("store_ill", ill != nil)
 }
+
+// learn writes what was learnt, now and then, and begin reads it: a warm start that is weighed by its age.
+func (k *keeping) learn() {
+	if k.store == nil || k.closing || k.app.server == nil {
+		return
+	}
+	text, err := json.Marshal(lasting.Snapshot{At: k.app.now, Settings: k.settings(), Cores: float64(k.app.place.Terms.Cores), Learnt: k.app.server.Learnt()})
+	if err == nil {
+		k.store.Learn(text)
+	}
+}
+
+func (k *keeping) begin() *admission.Learnt {
+	if k.store == nil || len(k.store.Learnt) == 0 {
+		return nil
+	}
+	var s lasting.Snapshot
+	if json.Unmarshal(k.store.Learnt, &s) != nil {
+		return nil
+	}
+	l := s.Weigh(k.app.now, k.settings())
+	k.app.log.Event("warm_start").Bool("taken", l != nil).Int64("age_ms", int64((k.app.now-s.At)/10)).Send()
+	return l
+}
+
+// settings is a hash of what the decisions go by.
+func (k *keeping) settings() uint64 {
+	return xxh3.HashString(fmt.Sprintf("%+v", k.app.place.Terms.Deployment))
+}
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -382,6 +382,7 @@
 	a.log.Event("leaving").Str("name", a.place.Name).Int64("within_ms", int64(left/10)).Int("in_hand", a.items.inHand()).Send()
 	a.stop = a.now + left
 	a.keeping.leave()
+	a.keeping.learn()
 	a.tellLeave()
 	a.directory.report()
 	a.set(&alarm{ring: func() {
@@ -448,6 +449,7 @@
 		a.plugins.tell(e)
 		a.keeping.tell(e)
 	}).Send()
+	a.keeping.learn()
 	a.set(&a.state, a.now+stateEvery)
 }
 
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -124,7 +124,7 @@
 	}
 	key, result := int(binary.LittleEndian.Uint16(b[4:])), int(binary.LittleEndian.Uint16(b[6:]))
 	r.Kind = lasting.Kind(b[2])
-	if r.Kind < lasting.Intent || r.Kind > lasting.Closed || key > mostKey || result > mostResult || b[3] > 1 {
+	if r.Kind < lasting.Intent || r.Kind > lasting.Learnt || key > mostKey || result > mostResult || b[3] > 1 {
 		return r, 0, errGarbled
 	}
 	n = int(sizeOf(r.Kind, key, result))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// Learn puts a snapshot, where there is time and room for it.
+func (s *Store) Learn(snapshot []byte) {
+	if len(snapshot) > mostResult/2 || len(s.queue) > 0 {
+		return
+	}
+	select {
+	case s.queue <- entry{record: lasting.Record{Kind: lasting.Learnt, Result: snapshot}}:
+	default:
+	}
+}
+
 // Figures are what it holds.
 func (s *Store) Figures() (used, promised int64, records int, ill error) {
 	s.lock.Lock()
--- a/lasting/lasting.go
+++ b/lasting/lasting.go
@@ -23,6 +23,7 @@
 	Result                 // its run is over
 	Void                   // it was intended and provably never began
 	Closed                 // a life ended in order: nothing that it wrote is missing after this
+	Learnt                 // a snapshot of what it had learnt
 )
 
 // Clock is what the machine's clocks said at one moment. Wall may step; Mono does not, but counts from the machine's start.
@@ -92,6 +93,7 @@
 	closed bool  // the newest record says so
 	open   bool  // damage was found and nothing valid came since
 	until  Tenths
+	learnt []byte
 	Found  []Found
 	Seen   int
 }
@@ -149,6 +151,8 @@
 		if f != nil {
 			f.Ended, f.Well, f.Result = true, one.Well, one.Result
 		}
+	case Learnt:
+		r.learnt = one.Result
 	case Void:
 		if f == nil || f.Ended {
 			return
@@ -183,6 +187,7 @@
 type Conclusion struct {
 	Fates        []Fate
 	DeclineUntil Tenths // stamped work items without a fate are declined until then; 0 for none
+	Learnt       []byte // the newest snapshot, as it was written; nil for none
 	Forgotten    int    // fates that there was no room for, which is why
 }
 
@@ -195,7 +200,7 @@
 		// The machine ended under writes that were only sure to outlive the process.
 		r.declineUntil(r.now.Wall + r.terms.Window + r.terms.Doubt)
 	}
-	c := Conclusion{}
+	c := Conclusion{Learnt: r.learnt}
 	for _, f := range r.fates {
 		if f.Until > r.now.Wall {
 			c.Fates = append(c.Fates, *f)
