--- a/cmd/thistlequay/configure.go
+++ b/cmd/thistlequay/configure.go
@@ -85,6 +85,10 @@
 
 // apply has the process keep to its limits.
 func apply(p appserver.Place) {
-	runtime.GOMAXPROCS(max(1, int(p.Cores)))
+	procs := max(1, int(p.Cores))
+	if p.Lasting != nil { // a write that waits for the disk must not keep the loop's
+		procs++
+	}
+	runtime.GOMAXPROCS(procs)
 	debug.SetMemoryLimit(int64(math.Round(float64(p.Memory) * heapPart)))
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -376,3 +376,35 @@
 		})
 	}
 }
+
+// A life that ends while it begins: after each step of opening, torn at each byte of its header, the next finds what was there.
+func TestACrashDuringRecovery(t *testing.T) {
+	d, clock := newDisk(), &at{c: lasting.Clock{Wall: 1e9, Mono: 1e6, Boot: 1}}
+	l, err := open(t, d, clock, lasting.Machine, true)
+	require.NoError(t, err)
+	require.True(t, l.intend("ran", clock.now().Wall+window))
+	require.True(t, l.intend("answered", clock.now().Wall+window))
+	l.conclude("answered", lasting.Result, 2, "r")
+	l.close()
+	whole := d.count()
+	l, err = open(t, d, clock, lasting.Machine, false)
+	require.NoError(t, err)
+	opened := d.count()
+	l.close()
+	for n := whole; n <= opened; n++ {
+		for torn := range headerSize + 1 {
+			found := after(d.steps, n, func(int) bool { return true })
+			if text := found.files[nameOf(2)]; len(text) >= torn {
+				found.files[nameOf(2)] = text[:len(text)-torn]
+			} else if torn > 0 {
+				break
+			}
+			again, err := open(t, found, &at{c: clock.c}, lasting.Machine, false)
+			require.NoError(t, err)
+			require.Equal(t, "broken off", repeat(again.s, "ran", clock.now().Wall))
+			require.Equal(t, "result r", repeat(again.s, "answered", clock.now().Wall))
+			require.Equal(t, "run", repeat(again.s, "new", clock.now().Wall), "what was being begun lost nothing")
+			again.close()
+		}
+	}
+}
