One header for return times, one hash of a module, library calls for searches in lists

Change: backOffFor serves the module's declines and the store's, slices.Contains the lists, the engine keeps the hash it took.

--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -491,19 +491,24 @@
 func (t *items) Decline(w *admission.WorkItem, stayAway admission.Tenths, nowhereElse bool) {
 	it := t.of(w)
 	t.app.must(!it.begun && it.conn != nil, "declined after its run or its answer")
-	headers := ""
 	if t.app.stop == never {
 		stayAway = it.claim.Return(stayAway, t.app.place.Terms.MaxAway, t.app.now)
 	}
-	if stayAway > 0 {
-		headers = "Back-Off-Ms: " + strconv.FormatInt(int64((stayAway+9)/10), 10) + "\r\n"
-	}
+	headers := backOffFor(stayAway)
 	if nowhereElse {
 		headers += "Final-Refusal: 1\r\n"
 	}
 	it.answer("503 Declined", headers, nil)
 }
 
+// backOffFor is the header that tells how long to stay away, empty for not at all.
+func backOffFor(away admission.Tenths) string {
+	if away <= 0 {
+		return ""
+	}
+	return "Back-Off-Ms: " + strconv.FormatInt(int64((away+9)/10), 10) + "\r\n"
+}
+
 func (t *items) BreakOff(w *admission.WorkItem) {
 	it := t.of(w)
 	t.app.must(it.conn != nil, "broken off after its answer")
--- a/internal/appserver/lasting.go
+++ b/internal/appserver/lasting.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -108,9 +107,7 @@
 
 // overdue: the disk did not come back in time. It is declined, and its intent taken back once it is there.
 func (k *keeping) overdue(it *item) {
-	if often(&k.late) {
-		k.app.log.Event("store_declines").Str("why", "late").Int("count", k.late).Send()
-	}
+	k.note(&k.late, "late")
 	it.answer("503 Declined", "", nil)
 }
 
@@ -127,15 +124,15 @@
 func (k *keeping) margin() admission.Tenths { return 2*k.app.place.Terms.Period + 2 }
 
 func (k *keeping) decline(it *item, count *int, why string, away admission.Tenths) {
+	k.note(count, why)
+	k.app.items.untaken(it)
+	it.answer("503 Declined", backOffFor(min(away, k.app.place.Terms.MaxAway)), nil)
+}
+
+func (k *keeping) note(count *int, why string) {
 	if often(count) {
 		k.app.log.Event("store_declines").Str("why", why).Int("count", *count).Send()
 	}
-	k.app.items.untaken(it)
-	headers := ""
-	if away = min(away, k.app.place.Terms.MaxAway); away > 0 {
-		headers = "Back-Off-Ms: " + strconv.FormatInt(int64((away+9)/10), 10) + "\r\n"
-	}
-	it.answer("503 Declined", headers, nil)
 }
 
 // told: the writer is through with these.
--- a/internal/faults/yaml.go
+++ b/internal/faults/yaml.go
@@ -11,6 +11,7 @@
 	"io"
 	"math"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -202,7 +203,7 @@
 			return
 		}
 		v.SetString(n.Value)
-		if one := tag.Get("one"); one != "" && !contains(strings.Fields(one), n.Value) {
+		if one := tag.Get("one"); one != "" && !slices.Contains(strings.Fields(one), n.Value) {
 			l.at(n, path, "one of "+strings.Join(strings.Fields(one), ", "), "%q", n.Value)
 		}
 		if least := tag.Get("min"); least != "" && n.Value == "" {
@@ -253,12 +254,3 @@
 		}
 	}
 }
-
-func contains(words []string, word string) bool {
-	for _, w := range words {
-		if w == word {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/plugin/engine.go
+++ b/internal/plugin/engine.go
@@ -104,9 +104,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if sum := sha256.Sum256(text); one.SHA256 != "" && hex.EncodeToString(sum[:]) != one.SHA256 {
-		return nil, fmt.Errorf("%s has sha256 %x, the settings pin %s", one.File, sum, one.SHA256)
+	bytes := sha256.Sum256(text)
+	sum := hex.EncodeToString(bytes[:])
+	if one.SHA256 != "" && sum != one.SHA256 {
+		return nil, fmt.Errorf("%s has sha256 %s, the settings pin %s", one.File, sum, one.SHA256)
 	}
+	one.SHA256 = sum
 	config := wazero.NewRuntimeConfigInterpreter()
 	if one.Compile {
 		config = wazero.NewRuntimeConfigCompiler()
--- a/internal/plugin/try.go
+++ b/internal/plugin/try.go
@@ -4,9 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"os"
 	"time"
 
 	"thistlequay/internal/plugin/abi"
@@ -36,12 +33,7 @@
 	}
 	defer g.close()
 	t.Ready = time.Since(begun)
-	text, err := os.ReadFile(one.File)
-	if err != nil {
-		return t, err
-	}
-	sum := sha256.Sum256(text)
-	t.SHA256 = hex.EncodeToString(sum[:])
+	t.SHA256 = g.SHA256
 	for range times {
 		out, took, err := g.ask(ctx, q.Hook, q.Append(nil), within[0])
 		if err != nil {
--- a/internal/service/plugins.go
+++ b/internal/service/plugins.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -111,14 +112,7 @@
 			l.Add(at+".sha256", one.SHA256, "the file has %s", sum)
 		}
 		one.SHA256 = sum
-		has := func(list []string, word string) bool {
-			for _, w := range list {
-				if w == word {
-					return true
-				}
-			}
-			return false
-		}
+		has := slices.Contains[[]string]
 		if has(one.May, "decline") && !has(one.Hooks, "read") {
 			l.Add(at+".may", "the hook read", "decline without it: what ran is never declined")
 		}
@@ -180,16 +174,7 @@
 
 // Tags says whether any plug-in may set tags, which stand for tenants in the fair queues.
 func (p *Plugins) tags() bool {
-	if p != nil {
-		for _, one := range p.List {
-			for _, may := range one.May {
-				if may == "tag" {
-					return true
-				}
-			}
-		}
-	}
-	return false
+	return p != nil && slices.ContainsFunc(p.List, func(one Plugin) bool { return slices.Contains(one.May, "tag") })
 }
 
 // Spec is what the process of plug-ins is told; kept is what they kept in the one before, by name.
