--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -609,3 +609,18 @@
 	_, err = configure("/nonexistent/config.json")
 	require.Error(t, err)
 }
+
+// A server that has lived long is spoken to in numbers that grow for ever: of routers, of notices, of milliseconds.
+func TestNumbersOfALongLife(t *testing.T) {
+	r, v := start(t)
+	c := r.router()
+	for slot, number := range []string{"0", "1048575", "1048576", "4294967296", "9007199254740991"} {
+		id, with := r.id(), fields("")
+		with["HTTP_REQUEST_ID"], with["HTTP_SENT_BY"] = id, number
+		c.ask(uint16(slot+1), "/rpc/look", number, with)
+		v.applied(id, number)
+		v.n += 1 << 31
+		v.value(id, "OK", "result of "+number)
+		c.answered(uint16(slot+1), 200, "result of "+number)
+	}
+}
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -24,6 +24,7 @@
 	stampSize  = mostResult + 1024 // what one takes at most
 	ahead      = 1000              // ms that a router's clock may be ahead
 	budgets    = 2                 // expiries: what waits longer than so many cannot be meant
+	callerBits = 53                // of a router's number: new ones come for ever, and more is no whole number in the settings' JSON
 )
 
 type items struct {
@@ -313,7 +314,7 @@
 	if !ok {
 		return it, "400 Budget-Ms"
 	}
-	caller, err := strconv.ParseUint(string(f[fieldCaller]), 10, 20)
+	caller, err := strconv.ParseUint(string(f[fieldCaller]), 10, callerBits)
 	if err != nil {
 		return it, "400 Sent-By"
 	}
--- /dev/null
+++ b/internal/rehearsal/life_test.go
@@ -0,0 +1,53 @@
+package rehearsal
+
+import (
+	"math/rand"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/standin"
+	"thistlequay/ledger"
+)
+
+// Forty-five minutes in which every work item comes by a caller that was never seen and every third by a new tenant: what is
+// served does not fall from third to third, and what the module and its ledger hold does not grow.
+func TestMeasuredLongLife(t *testing.T) {
+	const length = 2700.0
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc) / 1024
+	}
+	var streams []*standin.Stream
+	for i := range 3 { // a stream a third
+		from := length / 3 * float64(i)
+		streams = append(streams, &standin.Stream{Tenant: []string{"first", "second", "last"}[i], Share: 1, Rate: 90, From: from,
+			To: from + length/3, Work: 0.04, Gain: 1})
+	}
+	d := day(true, streams...)
+	d.Length, d.Strangers = length, true
+	chance := rand.New(rand.NewSource(3))
+	var held []float64
+	d.OnSecond = func(second int, l *ledger.Ledger) {
+		now := ledger.Tenths(second) * perSecond
+		claim := l.Open([]byte{byte(chance.Intn(256)), byte(chance.Intn(256)), byte(chance.Intn(256))}, 0, 0, now)
+		claim.Close(now)
+		if second%675 == 300 {
+			held = append(held, heap())
+		}
+	}
+	o := Play(d)
+	best, worst := 0.0, 1.0
+	for _, a := range o.Accounts {
+		part := a.Gain / a.AskedGain
+		best, worst = max(best, part), min(worst, part)
+		t.Logf("measured long-life third=%s asked=%d served=%.3f", a.Tenant, a.Asked, part)
+	}
+	t.Logf("measured long-life heap_kb_by_quarter=%.0f silent=%d late=%d", held, o.Silent, o.LateAsks)
+	require.GreaterOrEqual(t, worst, 0.9*best)
+	require.Less(t, held[len(held)-1], held[1]+1024)
+	require.Zero(t, o.Silent+o.LateAsks)
+}
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -25,6 +25,7 @@
 	Cold       admission.Tenths // it is cold for so long
 	Fair       *ledger.Terms    // nil: no turns
 	LeaveAt    float64          // 0: never
+	Strangers  bool             // each work item comes by a caller that was never seen
 	Change     func(at float64, l *ledger.Ledger)
 	OnSecond   func(second int, l *ledger.Ledger)
 }
@@ -142,6 +143,9 @@
 	s.items[s.next] = it
 	arrival := admission.Arrival{Category: a.Stream.Category, Caller: a.Caller % 4, HeldKb: 10, Door: s.next,
 		Left: s.day.Categories[a.Stream.Category].Expiry}
+	if s.day.Strangers {
+		arrival.Caller = int(s.next)
+	}
 	if s.ledger != nil {
 		it.claim = s.ledger.Open([]byte(a.Tenant), a.Stream.Category, s.server.Turn(), s.tenths())
 		arrival.Turn, arrival.Behind = it.claim.Turn, it.claim.Behind
