--- /dev/null
+++ b/members/schedule_test.go
@@ -0,0 +1,256 @@
+package members
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// world is a network of views and accords in virtual time: words and notes are lost, late, doubled and out of order, links
+// are cut one way, processes are killed, stopped and begun again with nothing kept, clocks run apart. Failure is told by
+// silence, as the library would.
+type world struct {
+	chance *rand.Rand
+	now    Moment // true time
+	nodes  []*node
+	cut    map[[2]int]bool // from, to
+	loss   float64
+	queue  []packet
+	lives  uint64
+	both   int
+	wholes int
+	looks  int
+}
+
+type packet struct {
+	at   Moment
+	to   int
+	life uint64
+	word *Word
+	note *Note
+}
+
+type node struct {
+	name    string
+	zone    string
+	address string
+	view    *View
+	accord  *Accord
+	rate    float64 // of its clock
+	offset  Moment
+	stopped Moment // until
+	down    bool
+	heard   map[ID]Moment
+	lost    map[ID]bool
+	leaving bool
+}
+
+const step = 100 * Moment(1)
+
+func (w *world) clock(n *node) Moment { return Moment(float64(w.now)*n.rate) + n.offset }
+
+func (w *world) begin(i int) {
+	n := w.nodes[i]
+	w.lives++
+	t := DefaultTerms(ID{n.name, w.lives})
+	t.Zone, t.Size = n.zone, len(w.nodes)
+	for _, f := range w.nodes[:3] {
+		t.Founders = append(t.Founders, f.name)
+	}
+	n.down, n.stopped, n.leaving = false, 0, false
+	n.view = NewView(t, w.clock(n))
+	n.accord = NewAccord(n.view)
+	n.heard, n.lost = map[ID]Moment{}, map[ID]bool{}
+	n.view.Say(Word{Address: n.address, State: Serving})
+}
+
+func newWorld(seed int64, servers int) *world {
+	w := &world{chance: rand.New(rand.NewSource(seed)), now: Second, cut: map[[2]int]bool{}}
+	for i := range servers {
+		w.nodes = append(w.nodes, &node{name: fmt.Sprint("n", i), zone: fmt.Sprint("z", i%3), address: fmt.Sprint("a", i),
+			rate: 1 + 0.04*(w.chance.Float64()-0.5), offset: Moment(w.chance.Intn(100000))})
+	}
+	for i := range w.nodes {
+		w.begin(i)
+	}
+	return w
+}
+
+func (w *world) index(id ID) (int, bool) {
+	for i, n := range w.nodes {
+		if n.view.terms.Me == id {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (w *world) send(from, to int, p packet) {
+	copies := 1 + w.chance.Intn(10)/9 // now and then twice
+	for range copies {
+		if !w.cut[[2]int{from, to}] && w.chance.Float64() >= w.loss {
+			p.at, p.to, p.life = w.now+Moment(1+w.chance.Intn(250)), to, w.nodes[to].view.terms.Me.Life
+			w.queue = append(w.queue, p)
+		}
+	}
+}
+
+// round plays one step of true time.
+func (w *world) round() {
+	w.now += step
+	later := w.queue[:0:0]
+	for _, p := range w.queue {
+		n := w.nodes[p.to]
+		switch {
+		case p.at > w.now || n.stopped > w.now && !n.down:
+			later = append(later, p)
+		case n.down || n.view.terms.Me.Life != p.life:
+		default:
+			n.view.At(w.clock(n), 2*step)
+			if p.word != nil {
+				n.view.Hear(*p.word)
+				n.heard[p.word.ID] = n.view.now
+				if n.lost[p.word.ID] {
+					delete(n.lost, p.word.ID)
+					n.view.Back(p.word.ID)
+				}
+				n.view.Answered(p.word.ID, 10)
+			} else {
+				n.accord.Take(*p.note)
+			}
+		}
+	}
+	w.queue = later
+	for i, n := range w.nodes {
+		if n.down || n.stopped > w.now {
+			continue
+		}
+		n.view.At(w.clock(n), 2*step)
+		state := Serving
+		if n.leaving {
+			state = Leaving
+		}
+		word := n.view.Say(Word{Address: n.address, State: state, Epoch: n.accord.fleet.Epoch})
+		for j := range w.nodes {
+			if j != i {
+				w.send(i, j, packet{word: &word})
+			}
+		}
+		for _, m := range n.view.Members() {
+			if at, known := n.heard[m.ID]; known && m.there() && n.view.now-at > 3*Second {
+				n.view.Doubted(m.ID)
+			} else if known && m.State == Suspected && n.view.now-at > 5*Second {
+				n.view.Lost(m.ID)
+				n.lost[m.ID] = true
+			}
+		}
+		n.accord.Tick()
+		n.view.Judge(n.accord.Standing())
+		for _, note := range n.accord.Out() {
+			if j, is := w.index(note.To); is {
+				w.send(i, j, packet{note: &note})
+			}
+		}
+	}
+	// At one moment all that hold themselves for the whole go by one fleet.
+	var first *Fleet
+	for _, n := range w.nodes {
+		if n.down || n.stopped > w.now {
+			continue
+		}
+		n.view.At(w.clock(n), 2*step)
+		w.looks++
+		if n.accord.Standing() == Whole {
+			w.wholes++
+			if f := n.accord.Fleet(); first == nil {
+				first = &f
+			} else if !f.same(first) {
+				w.both++
+			}
+		}
+	}
+}
+
+func (w *world) rounds(span Moment) {
+	for end := w.now + span; w.now < end; {
+		w.round()
+	}
+}
+
+// trouble does one thing to the world, as seeded.
+func (w *world) trouble() {
+	i := w.chance.Intn(len(w.nodes))
+	n := w.nodes[i]
+	switch w.chance.Intn(9) {
+	case 0: // killed, perhaps begun again at once
+		n.down = true
+		if w.chance.Intn(2) == 0 {
+			w.begin(i)
+		}
+	case 1:
+		n.stopped = w.now + Moment(w.chance.Intn(8000))
+	case 2: // any groups
+		groups := 2 + w.chance.Intn(2)
+		of := make([]int, len(w.nodes))
+		for k := range of {
+			of[k] = w.chance.Intn(groups)
+		}
+		for a := range of {
+			for b := range of {
+				w.cut[[2]int{a, b}] = of[a] != of[b]
+			}
+		}
+	case 3: // one way
+		w.cut[[2]int{i, w.chance.Intn(len(w.nodes))}] = true
+	case 4, 5:
+		clear(w.cut)
+		w.loss = 0
+	case 6:
+		w.loss = w.chance.Float64() * 0.4
+	case 7:
+		for k, m := range w.nodes {
+			if m.down {
+				w.begin(k)
+			}
+		}
+	case 8:
+		n.leaving = true
+	}
+}
+
+// No two fleets are ever in force at once, whatever happens to the network and the processes; and where things are well
+// again, one is.
+func TestNeverTwoWholes(t *testing.T) {
+	seeds := 250
+	if os.Getenv("MEASURE") == "full" {
+		seeds = 5000
+	}
+	both, wholes, looks, healed, changes := 0, 0, 0, 0, 0
+	for seed := range seeds {
+		w := newWorld(int64(seed), 3+seed%7)
+		w.rounds(10 * Second)
+		for range 12 {
+			w.trouble()
+			w.rounds(Moment(200 + w.chance.Intn(6000)))
+		}
+		clear(w.cut)
+		w.loss = 0
+		w.rounds(30 * Second)
+		for _, n := range w.nodes {
+			if !n.down && n.accord.Standing() == Whole {
+				healed++
+				break
+			}
+		}
+		for _, n := range w.nodes {
+			changes += n.accord.Changes
+		}
+		both, wholes, looks = both+w.both, wholes+w.wholes, looks+w.looks
+		require.Zero(t, w.both, "seed %d", seed)
+	}
+	t.Logf("measured accord schedules=%d looks=%d whole=%d both_whole=%d changes=%d healed=%d", seeds, looks, wholes, both, changes, healed)
+	require.Greater(t, healed, seeds/2)
+}
