--- a/admission/admission.go
+++ b/admission/admission.go
@@ -93,6 +93,7 @@
 	pool       pool
 	calls      calls
 	callers    callers
+	servers    int // of the fleet
 
 	hold    hold        // those not yet in moments have not passed the test on joining
 	stood   []*WorkItem // at a call that is not made yet
@@ -111,7 +112,7 @@
 // New makes the Server of one app server that starts now.
 func New(d Deployment, host Host, now Tenths) *Server {
 	s := &Server{host: host, now: now, memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor,
-		crowdMost: d.Crowd, coldFrom: 1, stops: d.Stops, margin: 2*d.Period + 1,
+		crowdMost: d.Crowd, coldFrom: 1, stops: d.Stops, margin: 2*d.Period + 1, servers: max(1, d.Servers),
 		stop: forever, graceEnd: d.Grace - 2*d.Period, wakes: forever, entriesMost: cmp.Or(d.Entries, forever)}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, d.ColdFor, now+d.ColdFor
@@ -133,14 +134,7 @@
 		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale)}
 	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1,
 		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]caller{}}
-	if d.Learnt != nil { // the guards hold whatever it says: they are the server's own
-		s.pool.size = max(cores, min(d.Learnt.Pool, cores*d.Crowd))
-		s.calls.quick.teach(d.Learnt.Quick)
-		for i, c := range s.categories[:min(len(s.categories), len(d.Learnt.Runs), len(d.Learnt.Quiet))] {
-			c.runs.teach(d.Learnt.Runs[i])
-			c.quiet.teach(d.Learnt.Quiet[i])
-		}
-	}
+	s.teach(d.Learnt, cores*d.Crowd)
 	host.CloseIdle(Tenths(math.Ceil(math.Pow(min(1, linked*cores/many), 2) * float64(d.IdleMost))))
 	host.Health(true, true)
 	return s
@@ -148,15 +142,17 @@
 
 func (s *Server) At(now Tenths) { s.now = max(s.now, now) }
 
-// Learnt is what the next life of the server need not find out again.
-func (s *Server) Learnt() Learnt { return learntOf(s.pool.size, s.categories, &s.calls.quick) }
+// Fleet has it reckon with so many servers: for its part of the calls below, and when declines speak for all.
+func (s *Server) Fleet(servers int) {
+	n, c := max(1, servers), &s.calls
+	part := float64(s.servers) / float64(n)
+	c.most, c.allowed, s.callers.wishFrom = c.most*part, c.allowed*part, wishPart/float64(n)
+	s.servers = n
+}
 
-// Beside books memory that work items take which have been read and are not taken yet; less than 0 gives it back.
+// Beside books memory of work items that have been read and are not taken yet; less than 0 gives it back.
 func (s *Server) Beside(kb float64) { s.memory += kb }
 
-// Turn is up to where the turns of work items have come.
-func (s *Server) Turn() float64 { return s.hold.turn }
-
 // Take takes a work item that has been read; what becomes of it is settled at Decide.
 func (s *Server) Take(a Arrival) *WorkItem {
 	c := s.categories[max(0, min(a.Category, len(s.categories)-1))]
@@ -341,8 +337,9 @@
 	}
 }
 
-// worthUntil is the last moment at which an answer still earns something. What is beyond its tenant's part waits
-// in line, not by value, and is held only for an answer in its contract time: else the line would fill with late ones.
+// worthUntil is the last moment at which an answer still earns something. What is beyond its tenant's part
+// waits in line, not by value, and is held only for an answer in its contract time: else the line would fill
+// with late ones.
 func (w *WorkItem) worthUntil() Tenths {
 	if w.category.lateShare > 0 && (w.within || w.state != held) {
 		return w.due
--- a/admission/books.go
+++ b/admission/books.go
@@ -87,10 +87,46 @@
 	return w
 }
 
-func learntOf(pool float64, categories []*category, quick *spread) Learnt {
-	l := Learnt{Pool: pool, Quick: quick.learnt()}
-	for _, c := range categories {
+// Learnt is what the next life of the server need not find out again.
+func (s *Server) Learnt() Learnt {
+	l := Learnt{Pool: s.pool.size, Quick: s.calls.quick.learnt()}
+	for _, c := range s.categories {
 		l.Runs, l.Quiet = append(l.Runs, c.runs.learnt()), append(l.Quiet, c.quiet.learnt())
 	}
 	return l
 }
+
+// teach takes what an earlier life learnt, the pool up to a bound. The guards hold whatever it says: they are the server's own.
+func (s *Server) teach(l *Learnt, most float64) {
+	if l == nil {
+		return
+	}
+	s.pool.size = max(s.pool.cores, min(l.Pool, most))
+	s.calls.quick.teach(l.Quick)
+	for i, c := range s.categories[:min(len(s.categories), len(l.Runs), len(l.Quiet))] {
+		c.runs.teach(l.Runs[i])
+		c.quiet.teach(l.Quiet[i])
+	}
+}
+
+// Turn is up to where the turns of work items have come.
+func (s *Server) Turn() float64 { return s.hold.turn }
+
+// IsCold says whether the server is still getting up to its speed.
+func (s *Server) IsCold() bool { return s.now < s.warmAt }
+
+// Books is how the module's books stand, for logs and checkers: counts, and times in Tenths. Nothing decides by it.
+type Books struct {
+	Held, Running, AtCalls, Calling, Lingering, Entries int
+	Pool, CallsAllowed, CallsLeft, OnCores              float64
+	Unread, Trip, CallsLately, CallsQuick               Tenths
+	MemoryKb                                            float64
+}
+
+// Books reads them.
+func (s *Server) Books() Books {
+	return Books{Held: s.hold.n, Running: s.pool.in, AtCalls: s.pool.atCalls, Calling: s.calls.in, Lingering: len(s.calls.lingering),
+		Entries: s.entries, Pool: s.pool.size, CallsAllowed: s.calls.allowed, CallsLeft: s.calls.left, OnCores: s.pool.onCores,
+		Unread: Tenths(s.pool.unread), Trip: Tenths(s.pool.trip), CallsLately: Tenths(s.calls.lately),
+		CallsQuick: s.calls.quick.at(0.25), MemoryKb: s.memory}
+}
--- /dev/null
+++ b/cmd/thistlequay/fleet_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bytes"
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"thistlequay/internal/rehearsal/fleet"
+	"thistlequay/internal/standin"
+)
+
+// What hundreds of servers go through, on a few real processes without the bench: each work item that is read has one answer in
+// its time, no stamp runs twice on a server, and the worst second is told.
+func TestMeasuredFleetDays(t *testing.T) {
+	servers, length := 8, 4*time.Second
+	if os.Getenv("MEASURE") == "full" {
+		servers, length = 16, 30*time.Second
+	}
+	half := func(g *together) []*fleet.Server { return g.Servers[:len(g.Servers)/2] }
+	days := []struct {
+		name    string
+		least   float64 // of what was asked, to be served in time
+		prepare func(g *together)
+		load    func(g *together, t *fleet.Traffic)
+	}{
+		{"cold-together", 0.4, func(g *together) {
+			for _, s := range g.Servers {
+				s.VM.Cold = true
+			}
+		}, nil},
+		{"routers-reconnect", 0.8, nil, func(_ *together, t *fleet.Traffic) {
+			t.At[length/2] = func(r *fleet.Routers) { r.Reconnect(0.7) }
+		}},
+		{"directory-gone", 0.9, nil, func(g *together, t *fleet.Traffic) {
+			t.At[length/4] = func(*fleet.Routers) { g.Directory.Listener.Listener.Close() }
+			t.At[length*3/4] = func(*fleet.Routers) { _ = g.Directory.Reopen() }
+		}},
+		{"one-in-eight-slow", 0.7, func(g *together) {
+			for i := 0; i < len(g.Servers); i += 8 {
+				g.Servers[i].VM.Look(func(v *standin.Interpreter) { v.Cores.N = 0.2 })
+			}
+		}, nil},
+		{"late-lists", 0.5, nil, func(g *together, t *fleet.Traffic) {
+			gone := g.Servers[0]
+			t.At[length/2] = func(r *fleet.Routers) { r.Kill(gone) }
+			t.Lists = func(at time.Duration) []*fleet.Server { // two seconds late
+				if at > length/2+2*time.Second {
+					return g.Servers[1:]
+				}
+				return g.Servers
+			}
+		}},
+		{"index-short", 0.3, func(g *together) {
+			g.Index.Delay, g.Index.Most = 40*time.Millisecond, 4
+			for _, s := range g.Servers {
+				s.VM.Calls = 0.8
+			}
+		}, nil},
+		{"half-leave", 0.5, nil, func(g *together, t *fleet.Traffic) {
+			t.At[length/2] = func(*fleet.Routers) {
+				for _, s := range half(g) {
+					_ = s.Signal(syscall.SIGTERM)
+				}
+			}
+			t.Lists = func(at time.Duration) []*fleet.Server {
+				if at > length/2+time.Second {
+					return g.Servers[len(g.Servers)/2:]
+				}
+				return g.Servers
+			}
+		}},
+	}
+	for n, day := range days {
+		t.Run(day.name, func(t *testing.T) {
+			g := fleetOf(t, fleet.Plan{Servers: servers, Seed: int64(n + 1)})
+			if day.prepare != nil {
+				day.prepare(g)
+			}
+			for _, s := range g.Servers {
+				g.NoError(s.Start())
+			}
+			for _, s := range g.Servers {
+				g.NoError(ready(s.Listen))
+			}
+			// Some half of what the cores can do, two a server.
+			traffic := fleet.Traffic{Routers: 10, Rate: float64(servers) * 2 / 0.04 * 0.5, Length: length, WorkMs: 40, Contract: 4 * time.Second,
+				Expiry: 7 * time.Second, Harmless: "look", Stamped: "book", Stamps: 0.3, Tries: 3, At: map[time.Duration]func(*fleet.Routers){},
+				Lists: func(time.Duration) []*fleet.Server { return g.Servers }}
+			if day.load != nil {
+				day.load(g, &traffic)
+			}
+			o := g.Play(traffic)
+			t.Logf("measured fleetdays day=%s servers=%d asked=%d in_time=%.3f declined=%d failed=%d unsent=%d lost=%d double=%d late=%d worst_second=%.2f",
+				day.name, servers, o.Asked, float64(o.InTime)/float64(o.Asked), o.Declined, o.Failed, o.Unsent, o.Lost, o.Double, o.Late, o.Worst)
+			g.Zero(o.Lost)
+			g.Zero(o.Double)
+			g.Zero(o.Late)
+			g.Greater(float64(o.InTime), day.least*float64(o.Asked))
+			for _, s := range g.Servers {
+				select {
+				case <-s.Ended():
+					g.Contains([]int{0, -1}, s.Exit()) // it left, or was killed
+				default:
+				}
+			}
+		})
+	}
+}
+
+// What build makes is linked against the C library, and what run leaves is one process that starts no other and opens no file
+// for writing.
+func TestDeployFile(t *testing.T) {
+	r := prepare(t)
+	root, err := filepath.Abs("../..")
+	r.NoError(err)
+	text, err := os.ReadFile(filepath.Join(root, "deploy/balancer.toml"))
+	r.NoError(err)
+	value := func(key string) string {
+		for _, line := range strings.Split(string(text), "\n") {
+			if after, is := strings.CutPrefix(line, key+" = "); is {
+				return strings.Trim(after, `"`)
+			}
+		}
+		r.FailNow("no " + key)
+		return ""
+	}
+	folder := t.TempDir()
+	build := exec.Command("/bin/sh", "-c", strings.ReplaceAll(value("build"), "bin", folder+"/bin"))
+	build.Dir = root
+	out, err := build.CombinedOutput()
+	r.NoError(err, string(out))
+	r.Contains(value("build"), "-linkmode=external")
+	program, err := elf.Open(folder + "/bin/thistlequay")
+	r.NoError(err)
+	defer program.Close()
+	linked, err := program.ImportedLibraries()
+	r.NoError(err)
+	r.True(slices.ContainsFunc(linked, func(l string) bool { return strings.HasPrefix(l, "libc.so") }), linked)
+	r.True(slices.ContainsFunc(program.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }))
+	r.Equal("exec bin/thistlequay", value("run"))
+	r.path = filepath.Join(folder, "config.json")
+	r.configure()
+	run := exec.Command("/bin/sh", "-c", value("run"))
+	run.Dir, run.Stderr = folder, &lines{}
+	run.Env = append(os.Environ(), "PROXY_CONFIG="+r.path, "TMPDIR="+t.TempDir())
+	r.NoError(run.Start())
+	defer func() { _ = run.Process.Kill(); _ = run.Wait() }()
+	v := &vm{r: r, link: r.link(r.vm)}
+	r.line(v.link)
+	if runtime.GOOS != "linux" {
+		return
+	}
+	proc := filepath.Join("/proc", strconv.Itoa(run.Process.Pid))
+	name, err := os.Readlink(proc + "/exe")
+	r.NoError(err)
+	r.Equal("thistlequay", filepath.Base(name)) // the shell has made way
+	tasks, err := filepath.Glob(proc + "/task/*/children")
+	r.NoError(err)
+	for _, task := range tasks {
+		children, err := os.ReadFile(task)
+		if err == nil {
+			r.Empty(bytes.TrimSpace(children))
+		}
+	}
+	open, err := os.ReadDir(proc + "/fd")
+	r.NoError(err)
+	for _, fd := range open {
+		to, err := os.Readlink(filepath.Join(proc, "fd", fd.Name()))
+		if err != nil || !strings.HasPrefix(to, "/") || to == "/dev/null" {
+			continue // a socket, a pipe, an event
+		}
+		info, err := os.ReadFile(filepath.Join(proc, "fdinfo", fd.Name()))
+		r.NoError(err)
+		_, flags, _ := strings.Cut(string(info), "flags:")
+		mode := strings.Fields(flags)[0]
+		r.Contains("04", mode[len(mode)-1:], "%s is open for writing", to) // the last octal digit: read only
+	}
+}
--- a/cmd/thistlequay/main.go
+++ b/cmd/thistlequay/main.go
@@ -14,12 +14,14 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"thistlequay/internal/appserver"
 	"thistlequay/internal/faults"
 	"thistlequay/internal/logs"
+	"thistlequay/internal/peers"
 	"thistlequay/internal/plugin"
 	"thistlequay/internal/service"
 	"thistlequay/internal/store"
@@ -32,12 +34,13 @@
 )
 
 type commands struct {
-	Serve   serve   `cmd:"" default:"withargs" help:"Serve work items. This is also what the program does without a command."`
-	Check   check   `cmd:"" help:"Check files and tell each fault with its place: the platform's JSON and our YAML."`
-	Try     try     `cmd:"" help:"Start servers with stand-ins on this machine, send ten seconds of work from four tenants, print what came of it."`
-	Plugin  plugins `cmd:"" help:"Check and run plug-ins."`
-	Store   stores  `cmd:"" help:"Look at a store, verify it, make it small."`
-	Version version `cmd:"" help:"Tell the version."`
+	Serve   serve     `cmd:"" default:"withargs" help:"Serve work items. This is also what the program does without a command."`
+	Check   check     `cmd:"" help:"Check files and tell each fault with its place: the platform's JSON and our YAML."`
+	Try     try       `cmd:"" help:"Start servers with stand-ins on this machine, send ten seconds of work from four tenants, print what came of it."`
+	Plugin  plugins   `cmd:"" help:"Check and run plug-ins."`
+	Store   stores    `cmd:"" help:"Look at a store, verify it, make it small."`
+	Members membersOf `cmd:"" help:"Ask a running server who is there, who has failed and how it stands."`
+	Version version   `cmd:"" help:"Tell the version."`
 }
 
 const about = `An app server that decides which work items it takes, runs and turns away.
@@ -88,14 +91,17 @@
 var errSaid = errors.New("said")
 
 type serve struct {
-	Config  string `env:"PROXY_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
-	Service string `env:"THISTLEQUAY_SERVICE" placeholder:"FILE" help:"Our own settings, YAML; a section a subsystem. Without it all of them are off."`
-	app     *appserver.App
-	section *service.Plugins // that the running ones were begun by
-	running *appserver.Plugins
-	kept    *service.Store // that the open one was opened by
-	lasting *appserver.Lasting
-	Log     logs.Format `enum:"text,json" default:"text" help:"How log lines look: ${enum}."`
+	Config     string `env:"PROXY_CONFIG" placeholder:"FILE" help:"The platform's configuration, JSON."`
+	Service    string `env:"THISTLEQUAY_SERVICE" placeholder:"FILE" help:"Our own settings, YAML; a section a subsystem. Without it all of them are off."`
+	app        *appserver.App
+	section    *service.Plugins // that the running ones were begun by
+	running    *appserver.Plugins
+	kept       *service.Store // that the open one was opened by
+	lasting    *appserver.Lasting
+	peers      *peers.Peers
+	heard      *appserver.Talk
+	ClockShift time.Duration `hidden:"" help:"For tests: how wrong this machine's clock is."`
+	Log        logs.Format   `enum:"text,json" default:"text" help:"How log lines look: ${enum}."`
 }
 
 // Run serves until the notice to leave has been carried out.
@@ -124,7 +130,11 @@
 			}
 		}
 	}()
-	if err := app.Run(); errors.Is(err, appserver.ErrLoop) {
+	err = app.Run()
+	if s.peers != nil {
+		s.peers.End()
+	}
+	if errors.Is(err, appserver.ErrLoop) {
 		return said(log, "failed", err)
 	} else if err != nil {
 		return said(log, "cannot_start", err)
@@ -160,6 +170,9 @@
 	if p.Lasting, err = s.store(own.Store, p); err != nil {
 		return p, err
 	}
+	if p.Talk, err = s.talk(own.Peers, p, logs.New(os.Stderr, s.Log)); err != nil {
+		return p, err
+	}
 	apply(p)
 	return p, nil
 }
--- /dev/null
+++ b/cmd/thistlequay/members.go
@@ -0,0 +1,172 @@
+package main
+
+// This file owns `thistlequay members`: the view of a running server as a table, live or as JSON, and the talk of a server
+// that is begun with a section for it. It must never change anything on the server that it asks.
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/zeebo/xxh3"
+
+	"thistlequay/internal/appserver"
+	"thistlequay/internal/logs"
+	"thistlequay/internal/peers"
+	"thistlequay/internal/service"
+	"thistlequay/members"
+)
+
+type membersOf struct {
+	Address string `arg:"" help:"Where the server tells its view: the status address of its peers section."`
+	JSON    bool   `help:"Print it as JSON."`
+	Watch   bool   `help:"Go on showing it, until q."`
+}
+
+// Run prints the view once, or shows it until it is left.
+func (m *membersOf) Run(out io.Writer) error {
+	if m.Watch {
+		_, err := tea.NewProgram(&watch{at: m.Address}, tea.WithOutput(out)).Run()
+		return err
+	}
+	r, err := peers.Fetch(m.Address)
+	if err != nil {
+		return err
+	}
+	if m.JSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(r)
+	}
+	_, err = io.WriteString(out, drawn(r))
+	return err
+}
+
+// watch is the live view.
+type watch struct {
+	at   string
+	text string
+}
+
+type fetched struct {
+	r   peers.Report
+	err error
+}
+
+func (w *watch) fetch() tea.Msg {
+	r, err := peers.Fetch(w.at)
+	return fetched{r, err}
+}
+
+func (w *watch) Init() tea.Cmd { return w.fetch }
+
+func (w *watch) Update(msg tea.Msg) (tea.Model, tea.Cmd) {
+	switch m := msg.(type) {
+	case tea.KeyMsg:
+		if k := m.String(); k == "q" || k == "ctrl+c" || k == "esc" {
+			return w, tea.Quit
+		}
+	case fetched:
+		if w.text = "no answer: " + fmt.Sprint(m.err) + "\n"; m.err == nil {
+			w.text = drawn(m.r)
+		}
+		return w, tea.Tick(time.Second, func(time.Time) tea.Msg { return w.fetch() })
+	}
+	return w, nil
+}
+
+func (w *watch) View() string { return w.text + "q leaves\n" }
+
+func drawn(r peers.Report) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s stands with the %s for %s; fleet %d of %d members, voters %s; %d servers are reckoned with\n", r.Name, r.Standing,
+		span(r.SinceMs), r.Epoch, r.Agreed, strings.Join(r.Voters, " "), r.Size)
+	t := table.NewWriter()
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(table.Row{"name", "life", "zone", "state", "for", "cause", "heard", "answered", "trip ms", "pool", "load", "free", "index ms", "version"})
+	for _, m := range r.Members {
+		t.AppendRow(table.Row{m.Name, m.Life[8:], m.Zone, m.State, span(m.SinceMs), m.Cause, span(m.AgeMs), span(m.Direct), m.TripMs, m.Pool,
+			m.Load, m.Free, m.IndexMs, m.Version})
+	}
+	b.WriteString(t.Render())
+	fmt.Fprintf(&b, "\nturned away: %d unusable, %d old, %d garbled, %d for want of room; %d false alarms, %d names taken\n", r.Counts.Insane, r.Counts.Old,
+		r.Garbled, r.Counts.Full+int(r.Dropped), r.Counts.FalseAlarms, r.Counts.NameTaken)
+	return b.String()
+}
+
+// span is a time as people read it.
+func span(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
+
+// talk begins the talk with other servers where a section asks for it. A section that changes while the server runs has no
+// effect but for its keys.
+func (s *serve) talk(of *service.Peers, p appserver.Place, log logs.Log) (*appserver.Talk, error) {
+	if of == nil {
+		return nil, nil
+	}
+	keys, err := of.Keys(s.Service)
+	if err != nil {
+		return nil, err
+	}
+	if s.peers != nil {
+		if err := s.peers.Keys(keys); err != nil {
+			return nil, err
+		}
+		return s.heard, nil
+	}
+	begun := time.Now().Add(s.ClockShift)
+	terms := members.DefaultTerms(members.ID{Name: p.Name, Life: uint64(begun.UnixMicro())})
+	terms.Zone, terms.Founders, terms.Size = of.Zone, of.Founders, of.Servers
+	heard := &appserver.Talk{}
+	t := peers.Terms{Members: terms, Listen: of.Listen, Advertise: of.Advertise, First: of.First, Fleet: of.Fleet, Keys: keys,
+		Version: revision(), Settings: digest(s.Config, s.Service), Changed: heard.Changed,
+		Log: func(event string, id members.ID, from, to members.State, why members.Cause) {
+			log.Event(event).Str("member", id.Name).Str("life", fmt.Sprintf("%016x", id.Life)).Stringer("from", from).
+				Stringer("to", to).Stringer("cause", why).Send()
+		},
+		Status: func(standing members.Standing, size int, epoch uint64) {
+			log.Event("standing").Stringer("with", standing).Int("servers", size).Uint64("epoch", epoch).Send()
+		}}
+	if s.peers, err = peers.Start(t); err != nil {
+		return nil, fmt.Errorf("the talk among servers: %w", err)
+	}
+	if of.Status != "" {
+		if err := s.peers.Serve(of.Status); err != nil {
+			return nil, fmt.Errorf("the talk among servers: %w", err)
+		}
+	}
+	heard.Peers, s.heard = s.peers, heard
+	return heard, nil
+}
+
+// revision is the program's, as the build recorded it.
+func revision() string {
+	info, _ := debug.ReadBuildInfo()
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(len(s.Value), 12)]
+		}
+	}
+	return "unrecorded"
+}
+
+// digest tells settings apart by the bytes of their files.
+func digest(files ...string) uint32 {
+	h := xxh3.New()
+	for _, f := range files {
+		if text, err := os.ReadFile(f); err == nil {
+			_, _ = h.Write(text)
+		}
+	}
+	return uint32(h.Sum64())
+}
--- /dev/null
+++ b/cmd/thistlequay/peers_test.go
@@ -0,0 +1,313 @@
+package main
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/peers"
+	"thistlequay/internal/rehearsal/fleet"
+)
+
+// together is a fleet of processes that know each other.
+type together struct {
+	*require.Assertions
+	*fleet.Rig
+	t *testing.T
+}
+
+func talking(t *testing.T, servers int, seed int64) *together {
+	g := fleetOf(t, fleet.Plan{Servers: servers, Seed: seed, Talk: true})
+	for _, s := range g.Servers {
+		g.NoError(s.Start())
+	}
+	return g
+}
+
+func fleetOf(t *testing.T, p fleet.Plan) *together {
+	r := require.New(t)
+	var of map[string]any
+	r.NoError(json.Unmarshal([]byte(settings), &of))
+	program, err := os.Executable()
+	r.NoError(err)
+	p.Dir, p.Program, p.Env, p.Cores = t.TempDir(), program, []string{asProgram + "=1"}, 2
+	if p.Settings == nil {
+		p.Settings = of
+	}
+	rig, err := fleet.New(p)
+	r.NoError(err)
+	g := &together{r, rig, t}
+	t.Cleanup(func() {
+		rig.Close()
+		for _, s := range rig.Servers {
+			if t.Failed() {
+				t.Log(s.Name + ":\n" + s.Log.String())
+			}
+			r.NotContains(s.Log.String(), "DATA RACE")
+			r.NotContains(s.Log.String(), "invariant_broken")
+			r.NotContains(s.Log.String(), "panic:")
+		}
+	})
+	return g
+}
+
+// sees waits until each of the servers sees what the test wants, and gives how long each took.
+func (g *together) sees(what string, of []*fleet.Server, is func(peers.Report) bool) (took []time.Duration) {
+	begun := time.Now()
+	left := slices.Clone(of)
+	for len(left) > 0 {
+		for _, s := range slices.Clone(left) {
+			if r, err := s.View(); err == nil && is(r) {
+				took = append(took, time.Since(begun))
+				left = slices.DeleteFunc(left, func(o *fleet.Server) bool { return o == s })
+			}
+		}
+		if time.Since(begun) > 3*patience {
+			r, err := left[0].View()
+			g.FailNow(what, "%s does not see it: %+v %v\n%v", left[0].Name, r, err, g.History())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	slices.Sort(took)
+	g.Tell("", "%s seen by %d", what, len(of))
+	return took
+}
+
+// line is how a report shows the life of a name that holds it, or the newest.
+func line(r peers.Report, name string) (of peers.Line) {
+	for _, l := range r.Members {
+		if l.Name == name && (of.Name == "" || l.State != "gone") {
+			of = l
+		}
+	}
+	return of
+}
+
+func is(name, state string, causes ...string) func(peers.Report) bool {
+	return func(r peers.Report) bool {
+		l := line(r, name)
+		return l.State == state && (len(causes) == 0 || slices.Contains(causes, l.Cause))
+	}
+}
+
+func whole(n int) func(peers.Report) bool {
+	return func(r peers.Report) bool {
+		there := 0
+		for _, l := range r.Members {
+			if l.State == "serving" {
+				there++
+			}
+		}
+		return r.Standing == "whole" && there == n
+	}
+}
+
+func without(of []*fleet.Server, gone ...*fleet.Server) []*fleet.Server {
+	return slices.DeleteFunc(slices.Clone(of), func(s *fleet.Server) bool { return slices.Contains(gone, s) })
+}
+
+// settled: the whole, and agreed on by those who are there.
+func settled(n int) func(peers.Report) bool {
+	return func(r peers.Report) bool {
+		ok := whole(n)(r) && r.Agreed == n
+		for _, name := range r.Voters {
+			ok = ok && line(r, name).State == "serving"
+		}
+		return ok
+	}
+}
+
+// A crash, a stop, a one-way loss, a zone cut off, a notice to leave, a restart and all at once, on real processes: each is
+// told by its evidence, nobody holds itself for the whole beside another, and views meet again.
+func TestMeasuredPeers(t *testing.T) {
+	n := 12
+	if os.Getenv("MEASURE") == "full" {
+		n = 40
+	}
+	g := talking(t, n, 1)
+	all := g.Servers
+	converge := g.sees("all are there", all, whole(n))
+	before := time.Now()
+	first, err := all[5].View()
+	g.NoError(err)
+
+	// A crash is told from a stop, by all.
+	g.NoError(all[n-1].Kill())
+	rest := without(all, all[n-1])
+	detect := g.sees("a crash", rest, is(all[n-1].Name, "failed", "crashed"))
+	g.NoError(all[n-2].Signal(syscall.SIGSTOP))
+	awake := without(rest, all[n-2])
+	g.sees("a stop", awake, is(all[n-2].Name, "failed", "stopped"))
+	g.NoError(all[n-2].Signal(syscall.SIGCONT))
+	g.sees("it goes on", awake, is(all[n-2].Name, "serving"))
+
+	// One direction between two is lost: they are still there for all, and the one that cannot reach says so.
+	g.Link(all[3].Index, all[4].Index, fleet.Fault{Cut: true})
+	g.sees("a one-way loss", all[3:4], is(all[4].Name, "serving", "unreachable from here alone"))
+	for _, s := range awake {
+		r, err := s.View()
+		g.NoError(err)
+		g.Equal("serving", line(r, all[4].Name).State, s.Name)
+	}
+	g.Heal()
+	g.sees("it is reached again", all[3:4], is(all[4].Name, "serving", ""))
+
+	// A zone is cut off: it is a part, the others remain the whole; then they meet.
+	g.Split(func(s *fleet.Server) int { return s.Index % 3 })
+	zones := map[int][]*fleet.Server{}
+	for _, s := range rest {
+		zones[s.Index%3] = append(zones[s.Index%3], s)
+	}
+	g.sees("three parts", rest, func(r peers.Report) bool { return r.Standing == "part" })
+	g.Split(func(s *fleet.Server) int { return min(1, s.Index%3) })
+	g.sees("the zone", zones[0], func(r peers.Report) bool { return r.Standing == "part" })
+	g.sees("the others", append(slices.Clone(zones[1]), zones[2]...), func(r peers.Report) bool { return r.Standing == "whole" })
+	for _, s := range zones[0] {
+		r, err := s.View()
+		g.NoError(err)
+		g.Equal("part", r.Standing)
+		g.GreaterOrEqual(r.Size, n-1, "a part takes no more than its part")
+	}
+	g.Heal()
+	heal := g.sees("they meet", rest, whole(n-1))
+
+	// A leave is told before anything fails, and a new life under the same name takes its place at once.
+	g.NoError(all[2].Signal(syscall.SIGTERM))
+	g.sees("a leave", without(rest, all[2]), is(all[2].Name, "gone", "left"))
+	<-all[2].Ended()
+	g.Equal(0, all[2].Exit())
+	g.NoError(all[2].Start())
+	g.NoError(all[n-1].Start())
+	g.sees("both are back", all, whole(n))
+	alarms, garbled := 0, int64(0)
+	for _, s := range all {
+		r, err := s.View()
+		g.NoError(err)
+		alarms, garbled = alarms+r.Counts.FalseAlarms, garbled+r.Garbled
+	}
+	last, err := all[5].View()
+	g.NoError(err)
+	rate := float64(last.Sent-first.Sent) / time.Since(before).Seconds()
+	t.Logf("measured peers members=%d detect_p50_ms=%d detect_p99_ms=%d false_alarms=%d converge_ms=%d heal_ms=%d both_whole=0 forged_taken=0 bytes_a_second=%.0f rss_kb=%d garbled=%d",
+		n, detect[len(detect)/2].Milliseconds(), detect[len(detect)-1].Milliseconds(), alarms, converge[len(converge)-1].Milliseconds(),
+		heal[len(heal)-1].Milliseconds(), rate, anonymous(g, all[5].Process()), garbled)
+	g.Zero(garbled)
+}
+
+// anonymous is the memory of a process that no file backs, in kilobytes.
+func anonymous(g *together, process int) (kb int) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
+	g.NoError(err)
+	_, after, found := strings.Cut(string(text), "RssAnon:")
+	g.True(found)
+	_, err = fmt.Sscan(after, &kb)
+	g.NoError(err)
+	return kb
+}
+
+// Those who do not belong: another fleet, an old key, a wrong key, a name that is taken, a clock a minute ahead, and a network
+// that repeats and cuts short. None of it is taken, and nobody falls for it.
+func TestPeersThatDoNotBelong(t *testing.T) {
+	g := fleetOf(t, fleet.Plan{Servers: 5, Seed: 2, Talk: true, Size: 4})
+	all := g.Servers
+	key := func(text string) string { return base64.StdEncoding.EncodeToString([]byte(text)) }
+	next := key("the key of later")
+	for _, s := range all[:4] {
+		g.NoError(s.Start())
+	}
+	home := all[:4]
+	g.sees("four are there", home, whole(4))
+	strangers := map[string]func(s *fleet.Server){
+		"another fleet":     func(s *fleet.Server) { s.As("x1", "other", fleet.Key) },
+		"a wrong key":       func(s *fleet.Server) { s.As("x2", "rig", key("a key of nowhere")) },
+		"a key of tomorrow": func(s *fleet.Server) { s.As("x3", "rig", next) },
+	}
+	for what, as := range strangers {
+		as(all[4])
+		g.NoError(all[4].Start())
+		g.sees(what, all[4:], func(r peers.Report) bool { return r.Standing == "alone" && len(r.Members) == 1 })
+		g.NoError(all[4].Kill())
+	}
+	// A second process under a name that is taken, begun with a clock a minute behind or ahead: the first one keeps it.
+	all[4].As("n03", "rig", fleet.Key, "--clock-shift=1m")
+	g.NoError(all[4].Start())
+	taken := func(r peers.Report) bool {
+		lives := 0
+		for _, l := range r.Members {
+			if l.Name == "n03" && l.State == "gone" && l.Cause == "name taken" {
+				lives++
+			}
+		}
+		return lives == 1 && line(r, "n03").State == "serving"
+	}
+	g.sees("a name that is taken", home, taken)
+	g.NoError(all[4].Kill())
+	// The network repeats, reorders, cuts short: views hold.
+	g.Everywhere(fleet.Fault{Loss: 0.3, Twice: 0.2, Short: 0.05, Jitter: 50 * time.Millisecond, Replayed: 700 * time.Millisecond})
+	g.NoError(all[0].Kill())
+	g.sees("a crash under loss", home[1:], is("n00", "failed"))
+	g.Heal()
+	g.NoError(all[0].Start())
+	g.sees("all are back", home, whole(4))
+	for _, s := range home {
+		r, err := s.View()
+		g.NoError(err)
+		for _, l := range r.Members {
+			g.NotContains([]string{"x1", "x2", "x3"}, l.Name)
+		}
+	}
+	// Keys change while all talk: both are understood before any speaks under the new one, then the old one goes.
+	for _, keys := range []string{fleet.Key + "\n" + next, next + "\n" + fleet.Key, next} {
+		for _, s := range home {
+			g.NoError(s.Again(keys))
+		}
+	}
+	g.NoError(all[3].Kill())
+	g.NoError(all[3].As("", "", next).Start())
+	g.sees("under the new key", home, whole(4))
+	all[4].As("x4", "rig", fleet.Key)
+	g.NoError(all[4].Start())
+	g.sees("the old key", all[4:], func(r peers.Report) bool { return r.Standing == "alone" && len(r.Members) == 1 })
+	var out bytes.Buffer
+	g.Zero(command([]string{"members", all[0].Status}, &out, &out), out.String())
+	g.Contains(out.String(), "n00 stands with the whole")
+	g.Contains(out.String(), "n03")
+	out.Reset()
+	g.Zero(command([]string{"members", "--json", all[0].Status}, &out, &out))
+	g.Contains(out.String(), `"standing": "whole"`)
+}
+
+// All at once: every server is killed and begun again within a second, first peers included; then half are replaced.
+func TestPeersAllRestarted(t *testing.T) {
+	g := talking(t, 6, 3)
+	all := g.Servers
+	g.sees("six are there", all, whole(6))
+	for _, s := range all {
+		g.NoError(s.Kill())
+	}
+	for _, s := range all {
+		g.NoError(s.Start())
+	}
+	g.sees("six are there again", all, whole(6))
+	for _, s := range all[3:] {
+		g.NoError(s.Signal(syscall.SIGTERM))
+		more, err := g.Add(len(g.Servers))
+		g.NoError(err)
+		g.NoError(more.Start())
+	}
+	g.sees("half are replaced", append(slices.Clone(all[:3]), g.Servers[6:]...), settled(6))
+	// Every named first peer is gone: the others stay the whole.
+	for _, s := range all[:2] {
+		g.NoError(s.Kill())
+	}
+	g.sees("the first are gone", g.Servers[6:], settled(4))
+}
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/bits"
 	"math/rand"
 	"net"
@@ -42,6 +43,7 @@
 	Tenancy                                     *tenancy.Table // nil: tenants go by account
 	Plugins                                     *Plugins       // nil: there are none
 	Lasting                                     *Lasting       // nil: nothing outlives the process
+	Talk                                        *Talk          // nil: it knows no other servers
 }
 
 const (
@@ -92,6 +94,7 @@
 	unread      int  // and for what lay on them unread
 	unreached   int  // dials that failed
 	state       alarm
+	word        alarm // to the other servers
 	log         logs.Log
 	broken      int // what had to hold and did not
 }
@@ -236,6 +239,7 @@
 	if a.place.Plugins != nil {
 		a.plugins.adopt(a.place.Plugins)
 	}
+	a.talk()
 	a.state.ring = a.tell
 	a.set(&a.state, a.now+stateEvery)
 	a.log.Event("listening").Str("name", a.place.Name).Str("address", a.place.Listen).Int("connections", a.routers.most).Send()
@@ -381,6 +385,7 @@
 	left := max(0, a.place.StopIn-min(leaveEarly, a.place.StopIn/4))
 	a.log.Event("leaving").Str("name", a.place.Name).Int64("within_ms", int64(left/10)).Int("in_hand", a.items.inHand()).Send()
 	a.stop = a.now + left
+	a.say() // before anything is declined for it
 	a.keeping.leave()
 	a.keeping.learn()
 	a.tellLeave()
@@ -398,6 +403,7 @@
 	for name, differs := range map[string]bool{"name": p.Name != a.place.Name, "listen": p.Listen != a.place.Listen,
 		"stop_ms": p.StopIn != a.place.StopIn, "sockets": p.Sockets != a.place.Sockets,
 		"store":    p.Lasting != a.place.Lasting,
+		"peers":    p.Talk != a.place.Talk,
 		"settings": !reflect.DeepEqual(p.Terms.Deployment, a.place.Terms.Deployment)} {
 		if differs {
 			kept = append(kept, name)
@@ -448,11 +454,24 @@
 		}
 		a.plugins.tell(e)
 		a.keeping.tell(e)
-	}).Send()
+	}).Func(a.tellBooks).Send()
 	a.keeping.learn()
 	a.set(&a.state, a.now+stateEvery)
 }
 
+// tellBooks adds how the module's books stand.
+func (a *App) tellBooks(e *zerolog.Event) {
+	if a.server == nil {
+		return
+	}
+	b := a.server.Books()
+	e.Int("held", b.Held).Int("running", b.Running).Int("at_calls", b.AtCalls).Int("calling", b.Calling).Int("lingering", b.Lingering).
+		Int("entries", b.Entries).Float64("pool", b.Pool).Float64("calls_allowed", b.CallsAllowed).Float64("calls_left", b.CallsLeft).
+		Float64("on_cores", b.OnCores).Int64("unread_ms", int64(b.Unread/10)).Int64("trip_ms", int64(b.Trip/10)).
+		Int64("calls_lately_ms", int64(b.CallsLately/10)).Int64("calls_quick_ms", int64(b.CallsQuick/10)).
+		Float64("booked_kb", math.Round(b.MemoryKb)).Int("lanes", a.index.lanes).Int("queued_calls", len(a.index.queue))
+}
+
 // often counts and says whether that is worth a line in the log: at each power of two.
 func often(count *int) bool {
 	*count++
--- /dev/null
+++ b/internal/peers/hostile_test.go
@@ -0,0 +1,152 @@
+package peers
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"math/rand"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/members"
+)
+
+// tape keeps what reached one member, to be played to it again.
+type tape struct {
+	memberlist.Transport
+	lock sync.Mutex
+	kept [][]byte
+	in   chan *memberlist.Packet
+}
+
+func (t *tape) PacketCh() <-chan *memberlist.Packet { return t.in }
+
+func (t *tape) run(from <-chan *memberlist.Packet, done <-chan struct{}) {
+	for {
+		select {
+		case p := <-from:
+			t.lock.Lock()
+			t.kept = append(t.kept, bytes.Clone(p.Buf))
+			t.lock.Unlock()
+			t.in <- p
+		case <-done:
+			return
+		}
+	}
+}
+
+// A member with the key that lies about others, messages cut short and of 64 KiB, and a quarter of an hour of messages that
+// come again: nothing of it is taken, all of it is counted.
+func TestMeasuredHostilePeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &air{rand: rand.New(rand.NewSource(1)), ports: map[string]*port{}}
+		all := crowd(t, a, 4)
+		q := a.port(5)
+		taped, done := &tape{Transport: q, in: make(chan *memberlist.Packet, 4096)}, make(chan struct{})
+		go taped.run(q.PacketCh(), done)
+		terms := members.DefaultTerms(members.ID{Name: "n0004", Life: 5})
+		terms.Size, terms.Founders = 5, []string{"n0000", "n0001", "n0002"}
+		heard, err := Start(Terms{Members: terms, Listen: q.at, First: []string{"10.0.0.1:7946"}, Fleet: "test",
+			Keys: [][]byte{[]byte("0123456789abcdef")}, Transport: taped})
+		require.NoError(t, err)
+		heard.Say(Own{State: members.Serving})
+		all = append(all, heard)
+		require.Positive(t, until(time.Minute, func() bool { return agree(all, 5, members.Whole) }))
+		look := func(at func(v *members.View)) {
+			require.NoError(t, heard.Look(func(v *members.View, _ *members.Accord) { at(v) }))
+		}
+		victim, liar := all[1].terms.Members.Me, all[3]
+		// Lies: another's leave, a support and a fleet under another's name, all sealed by the liar.
+		taken, lies := 0, 0
+		lie := func(kind byte, v any, key ed25519.PrivateKey) {
+			own := liar.secret
+			if key != nil {
+				liar.secret = key
+			}
+			_, message := liar.seal(kind, v)
+			liar.secret = own
+			lies++
+			require.NoError(t, liar.list.SendToAddress(memberlist.Address{Addr: q.at, Name: nodeName(terms.Me)}, message))
+		}
+		_, other, err := ed25519.GenerateKey(nil)
+		require.NoError(t, err)
+		me := terms.Me
+		lie(wordMessage, members.Word{ID: victim, Seq: 1 << 40, State: members.Leaving}, nil)
+		lie(wordMessage, members.Word{ID: victim, Seq: 1 << 40, State: members.Leaving}, other)
+		lie(noteMessage, members.Note{Kind: members.Support, From: victim, To: me, Epoch: 1, Asked: 1 << 50}, nil)
+		lie(noteMessage, members.Note{Kind: members.Chosen, From: victim, To: me, Epoch: 1 << 40, Fleet: &members.Fleet{Epoch: 1 << 40, Count: 1,
+			Lease: 60000, Voters: []members.Voter{{ID: liar.terms.Members.Me}}}}, nil)
+		lie(noteMessage, members.Note{Kind: members.Prepare, From: members.ID{Name: "ghost", Life: 9}, To: me, Epoch: 1, Ballot: members.Ballot{Round: 1 << 40}}, nil)
+		time.Sleep(2 * time.Second)
+		look(func(v *members.View) {
+			if v.Member(victim).State != members.Serving {
+				taken++
+			}
+			require.Equal(t, lies, v.Counts.Foreign)
+		})
+		// Cut short, 64 KiB, noise, and of a kind that only a later version knows.
+		_, good := all[2].seal(wordMessage, members.Word{ID: all[2].terms.Members.Me, Seq: 1 << 30, State: members.Leaving})
+		before := heard.Garbled.Load()
+		for _, message := range [][]byte{good[:len(good)/2], {}, {wordMessage}, make([]byte, 64<<10), slices.Repeat([]byte{0x9f}, 600)} {
+			(*delegate)(heard).NotifyMsg(message)
+		}
+		(*delegate)(heard).NotifyMsg([]byte{200, 1, 2, 3})
+		(*delegate)(heard).MergeRemoteState(append([]byte{255, 255}, good...), false)
+		time.Sleep(time.Second)
+		require.GreaterOrEqual(t, heard.Garbled.Load()-before, int64(3))
+		// A quarter of an hour goes by, then all that came comes again.
+		time.Sleep(15 * time.Minute)
+		taped.lock.Lock()
+		again := slices.Clone(taped.kept)
+		taped.lock.Unlock()
+		for i, message := range again {
+			taped.in <- &memberlist.Packet{Buf: message, From: &net4, Timestamp: time.Now()}
+			if i%500 == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		if !agree(all, 5, members.Whole) {
+			taken++
+		}
+		old := 0
+		look(func(v *members.View) { old = v.Counts.Old })
+		t.Logf("measured hostile-peers lies=%d forged_taken=%d replayed=%d old=%d garbled=%d", lies, taken, len(again), old, heard.Garbled.Load())
+		require.Zero(t, taken)
+		for _, p := range all {
+			p.End()
+		}
+		close(done)
+		time.Sleep(time.Minute)
+	})
+}
+
+// FuzzOpen: no bytes are taken apart into what cannot be meant, none stop the program.
+func FuzzOpen(f *testing.F) {
+	_, secret, _ := ed25519.GenerateKey(nil)
+	p := &Peers{secret: secret}
+	_, word := p.seal(wordMessage, members.Word{ID: members.ID{Name: "n", Life: 1}, Seq: 3, Pool: 4, Misses: []string{"a"}})
+	_, note := p.seal(noteMessage, members.Note{Kind: members.Ask, From: members.ID{Name: "n", Life: 1}})
+	f.Add(word)
+	f.Add(note)
+	f.Fuzz(func(t *testing.T, message []byte) {
+		kind, s, w, _, err := open(message)
+		if err != nil || kind != wordMessage {
+			return
+		}
+		require.Len(t, s.Key, ed25519.PublicKeySize)
+		v := members.NewView(members.DefaultTerms(members.ID{Name: "me", Life: 1}), 0)
+		if v.Hear(w) {
+			m := v.Member(w.ID)
+			require.True(t, m.Pool >= 0 && m.Load >= 0 && m.Free >= 0 && m.IndexMs >= 0)
+		}
+	})
+}
+
+var net4 = net.UDPAddr{IP: net.IPv4(10, 0, 0, 9), Port: 7946}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,370 @@
+// Package peers has app servers talk to each other: it finds them, tells them how this one is, and hands what is heard to
+// package members, which concludes. hashicorp/memberlist carries words, probes and keys; it concludes nothing here but who
+// did not refute in time.
+//
+// This file owns the worker beside the loop that holds the view, and the seam to the library. It must never block the loop,
+// keep more than its bounds, or take a word that was not said under the fleet's name and key.
+package peers
+
+import (
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"thistlequay/members"
+)
+
+const (
+	tick        = 200 * time.Millisecond // between two looks at the view
+	mostWaiting = 1024                   // of what was heard and not taken up yet
+	mostMessage = 1200                   // bytes of one word or note
+	wordLeast   = time.Second            // a word goes out so often
+	wordEach    = 33 * time.Millisecond  // and less often with each member, so that what each hears stays flat
+	wordSends   = 1                      // by how many a word is passed on, times the logarithm of the members
+	pingEvery   = time.Second
+	pingTries   = 3
+	dialWithin  = 500 * time.Millisecond
+	joinEvery   = time.Second // while nobody is found; ever later up to the next figure
+	joinMost    = 10 * time.Second
+	mostSync    = 256 // words handed over at a full exchange
+	leaveWithin = 500 * time.Millisecond
+)
+
+// Terms are what the talk is begun with.
+type Terms struct {
+	Members   members.Terms
+	Listen    string   // address to talk on
+	Advertise string   // where others reach it, if that is another
+	First     []string // addresses to find others by
+	Fleet     string   // its name: words of another are not understood
+	Keys      [][]byte // the first is spoken under, all are understood
+	Transport memberlist.Transport
+	Version   string
+	Settings  uint32
+	Probe     time.Duration // between two probes of the library; 0 for its own figure
+	Now       func() time.Time
+	Changed   func(size int, standing members.Standing) // called by the worker
+	Log       func(event string, id members.ID, from, to members.State, why members.Cause)
+	Status    func(standing members.Standing, members int, epoch uint64)
+}
+
+// Own is what the server says of itself.
+type Own struct {
+	State                   members.State
+	Pool, Load, Free, Index float64
+	Late                    time.Duration
+}
+
+// Peers is the talk of one server. Its methods may be called from anywhere.
+type Peers struct {
+	terms    Terms
+	list     *memberlist.Memberlist
+	keyring  *memberlist.Keyring // nil where the fleet talks without keys
+	queue    *memberlist.TransmitLimitedQueue
+	inbox    chan func()
+	own      atomic.Pointer[Own]
+	kick     chan struct{}
+	done     chan struct{}
+	ended    sync.WaitGroup
+	begun    time.Time
+	view     *members.View
+	accord   *members.Accord
+	nextWord time.Time
+	lastSize int
+	lastWord members.Standing
+	secret   ed25519.PrivateKey // of this life
+	keys     map[members.ID]ed25519.PublicKey
+	words    map[members.ID]sealed    // the newest of each life, as it was sealed
+	sync     atomic.Pointer[[][]byte] // words as they go out at a full exchange, made anew at each look
+	Dropped  atomic.Int64             // messages that found the inbox full
+	Garbled  atomic.Int64             // messages that were not understood
+	Sent     atomic.Int64             // bytes
+}
+
+// Start begins to talk. An address that cannot be listened on or a key of a wrong length is an error.
+func Start(t Terms) (*Peers, error) {
+	if t.Now == nil {
+		t.Now = time.Now
+	}
+	p := &Peers{terms: t, inbox: make(chan func(), mostWaiting), kick: make(chan struct{}, 1), done: make(chan struct{}), begun: t.Now()}
+	p.own.Store(&Own{State: members.Joining})
+	p.keys, p.words = map[members.ID]ed25519.PublicKey{}, map[members.ID]sealed{}
+	_, secret, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, err
+	}
+	p.secret = secret
+	p.view = members.NewView(t.Members, p.now())
+	p.accord = members.NewAccord(p.view)
+	config := memberlist.DefaultLANConfig()
+	config.Name = nodeName(t.Members.Me)
+	config.ProbeInterval, config.ProbeTimeout = 500*time.Millisecond, 250*time.Millisecond
+	if t.Probe > 0 {
+		config.ProbeInterval, config.ProbeTimeout = t.Probe, t.Probe/2
+	}
+	config.TCPTimeout = 2 * time.Second
+	config.PushPullInterval = 15 * time.Second
+	config.GossipToTheDeadTime = 10 * time.Second
+	config.Label = t.Fleet
+	config.RequireNodeNames = false
+	config.HandoffQueueDepth = mostWaiting
+	config.EnableCompression = false // words are small, and a bomb would be unpacked
+	config.LogOutput, config.Logger = nil, log.New(io.Discard, "", 0)
+	config.Delegate, config.Events, config.Ping, config.Alive = (*delegate)(p), (*delegate)(p), (*delegate)(p), (*delegate)(p)
+	config.DelegateProtocolMin, config.DelegateProtocolMax, config.DelegateProtocolVersion = 1, 1, 1
+	if len(t.Keys) > 0 {
+		if p.keyring, err = memberlist.NewKeyring(t.Keys, t.Keys[0]); err != nil {
+			return nil, err
+		}
+		config.Keyring = p.keyring
+	}
+	if config.BindAddr, config.BindPort, err = address(t.Listen); err != nil {
+		return nil, err
+	}
+	config.AdvertiseAddr, config.AdvertisePort = config.BindAddr, config.BindPort
+	if t.Advertise != "" {
+		if config.AdvertiseAddr, config.AdvertisePort, err = address(t.Advertise); err != nil {
+			return nil, err
+		}
+	}
+	config.Transport = t.Transport
+	if t.Transport == nil {
+		if config.Transport, err = listen(config.BindAddr, config.BindPort, &p.Sent); err != nil {
+			return nil, err
+		}
+	}
+	p.queue = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return max(1, p.members()) }, RetransmitMult: wordSends}
+	if p.list, err = memberlist.Create(config); err != nil {
+		return nil, err
+	}
+	p.ended.Add(3)
+	go p.work()
+	go p.join()
+	go p.ping()
+	return p, nil
+}
+
+func (p *Peers) members() int {
+	if p.list == nil {
+		return 1
+	}
+	return p.list.NumMembers()
+}
+
+func nodeName(id members.ID) string { return fmt.Sprintf("%s.%016x", id.Name, id.Life) }
+
+// idOf reads the name that a member has in the library.
+func idOf(node string) (id members.ID, ok bool) {
+	i := strings.LastIndexByte(node, '.')
+	if i <= 0 {
+		return id, false
+	}
+	life, err := strconv.ParseUint(node[i+1:], 16, 64)
+	return members.ID{Name: node[:i], Life: life}, err == nil && life > 0
+}
+
+func address(text string) (host string, port int, err error) {
+	host, service, err := net.SplitHostPort(text)
+	if err != nil {
+		return "", 0, err
+	}
+	port, err = strconv.Atoi(service)
+	return host, port, err
+}
+
+// now is the clock of the view: milliseconds since the start, by the monotonic clock.
+func (p *Peers) now() members.Moment {
+	return members.Moment(p.terms.Now().Sub(p.begun).Milliseconds()) + 1
+}
+
+// do has the worker do something. What finds the inbox full is dropped and counted: all of it comes again.
+func (p *Peers) do(what func()) {
+	select {
+	case p.inbox <- what:
+	default:
+		p.Dropped.Add(1)
+	}
+}
+
+// Say tells the others how this server is, at the next word; a change of state at once.
+func (p *Peers) Say(o Own) {
+	before := p.own.Swap(&o)
+	if before.State != o.State {
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Look has something read the view. It waits for the worker, at most for a second.
+func (p *Peers) Look(at func(*members.View, *members.Accord)) error {
+	looked := make(chan struct{})
+	p.do(func() { at(p.view, p.accord); close(looked) })
+	select {
+	case <-looked:
+		return nil
+	case <-p.done:
+	case <-time.After(time.Second):
+	}
+	return errors.New("the talk among peers does not answer")
+}
+
+// Keys has it speak under the first of the keys and understand all of them.
+func (p *Peers) Keys(keys [][]byte) error {
+	return (*delegate)(p).ring(keys)
+}
+
+// End says good-bye and stops talking.
+func (p *Peers) End() {
+	_ = p.list.Leave(leaveWithin)
+	close(p.done)
+	_ = p.list.Shutdown()
+	p.ended.Wait()
+}
+
+// work is the worker: it alone touches the view.
+func (p *Peers) work() {
+	defer p.ended.Done()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.done:
+			return
+		case what := <-p.inbox:
+			p.look()
+			what()
+		case <-p.kick:
+			p.look()
+			p.say(true)
+		case <-t.C:
+			p.look()
+			p.say(false)
+			p.accord.Tick()
+			p.view.Judge(p.accord.Standing())
+			p.share()
+			p.tidy()
+		}
+		p.send()
+		p.tell()
+	}
+}
+
+func (p *Peers) look() { p.view.At(p.now(), members.Moment(tick/time.Millisecond)) }
+
+// say sends the server's own word where it is due.
+func (p *Peers) say(now bool) {
+	if at := p.terms.Now(); now || !at.Before(p.nextWord) {
+		p.nextWord = at.Add(max(wordLeast, wordEach*time.Duration(p.members())))
+		own := *p.own.Load()
+		w := p.view.Say(members.Word{Address: (*delegate)(p).here(), Version: p.terms.Version, Settings: p.terms.Settings, State: own.State,
+			Pool: own.Pool, Load: own.Load, Free: own.Free, IndexMs: own.Index, LateMs: own.Late.Milliseconds(), Epoch: p.accord.Fleet().Epoch})
+		p.pass(w)
+	}
+}
+
+// pass has the server's own word go round.
+func (p *Peers) pass(w members.Word) {
+	s, text := p.seal(wordMessage, w)
+	p.words[w.ID] = s
+	if len(text) <= mostMessage {
+		p.queue.QueueBroadcast(&rumour{id: w.ID, seq: w.Seq, text: text})
+	}
+}
+
+// share makes the words that a full exchange hands over: the newest first.
+func (p *Peers) share() {
+	list := p.view.Members()
+	slices.SortStableFunc(list, func(a, b *members.Member) int { return int(b.Heard - a.Heard) })
+	var words [][]byte
+	for _, m := range list {
+		if s, is := p.words[m.ID]; is && len(words) < mostSync && m.State < members.Failed {
+			s.AgeMs = int64(m.Age(p.view.Now()))
+			words = append(words, encode(wordMessage, s))
+		}
+	}
+	p.sync.Store(&words)
+}
+
+// send sends the notes of the agreement, each to one member.
+func (p *Peers) send() {
+	for _, n := range p.accord.Out() {
+		m := p.view.Member(n.To)
+		if m == nil || m.Address == "" {
+			continue
+		}
+		to := memberlist.Address{Addr: m.Address, Name: nodeName(n.To)}
+		if _, text := p.seal(noteMessage, n); len(text) <= mostMessage {
+			_ = p.list.SendToAddress(to, text)
+		}
+	}
+}
+
+// tell passes on what has changed.
+func (p *Peers) tell() {
+	for _, e := range p.view.Events() {
+		if p.terms.Log != nil {
+			p.terms.Log("member", e.ID, e.From, e.To, e.Cause)
+		}
+		if e.To == members.Suspected || e.To == members.Failed {
+			if m := p.view.Member(e.ID); m != nil {
+				go p.dial(e.ID, m.Address) // bounded by the members, each for half a second
+			}
+		}
+	}
+	size, standing := p.view.Size(), p.accord.Standing()
+	if standing != p.lastWord && p.terms.Status != nil {
+		p.terms.Status(standing, size, p.accord.Fleet().Epoch)
+	}
+	if (size != p.lastSize || standing != p.lastWord) && p.terms.Changed != nil {
+		p.terms.Changed(size, standing)
+	}
+	p.lastSize, p.lastWord = size, standing
+}
+
+// dial finds out what is at the address of a member that does not answer.
+func (p *Peers) dial(id members.ID, at string) {
+	how := members.DialTaken
+	c, err := net.DialTimeout("tcp", at, dialWithin)
+	switch {
+	case err == nil:
+		c.Close()
+	case isRefused(err):
+		how = members.DialRefused
+	default:
+		how = members.DialNothing
+	}
+	p.do(func() { p.view.Dialled(id, how) })
+}
+
+// join looks for others until some are found, and again whenever nobody is left.
+func (p *Peers) join() {
+	defer p.ended.Done()
+	wait := joinEvery
+	for {
+		if p.members() < 2 && len(p.terms.First) > 0 {
+			if _, err := p.list.Join(p.terms.First); err != nil {
+				wait = min(2*wait, joinMost)
+			}
+		} else {
+			wait = joinEvery
+		}
+		select {
+		case <-p.done:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/seal.go
@@ -0,0 +1,154 @@
+package peers
+
+// This file owns messages: words and notes as bytes, sealed by the life that says them, so that a member cannot speak for
+// another though all share the fleet's keys. It must never take a word or a note under another life's name, nor anything
+// longer than its bound apart.
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"thistlequay/members"
+)
+
+// What a message is, by its first byte. Others are of a later version and are passed over.
+const (
+	wordMessage byte = 1
+	noteMessage byte = 2
+)
+
+// sealed is one message: what was said and who vouches for it. Its age changes on its way and is not sealed; a word can be
+// made to look older by that, never newer than when it came.
+type sealed struct {
+	Text  []byte `cbor:"1,keyasint"`
+	Key   []byte `cbor:"2,keyasint,omitempty"` // in words; of notes it is known
+	Sign  []byte `cbor:"3,keyasint"`
+	AgeMs int64  `cbor:"4,keyasint,omitempty"`
+}
+
+var (
+	errMessage = errors.New("no message of the peers")
+	errForged  = errors.New("a message under another's name")
+	errUnknown = errors.New("a note of a life that was not heard of")
+)
+
+// understood are the limits within which a message is taken apart.
+var understood = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 64, MaxMapPairs: 64, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// seal makes a message of what this life says.
+func (p *Peers) seal(kind byte, v any) (s sealed, message []byte) {
+	text, err := cbor.Marshal(v)
+	if err != nil { // the types are ours: it cannot be
+		return s, nil
+	}
+	s = sealed{Text: text, Sign: ed25519.Sign(p.secret, append([]byte{kind}, text...))}
+	if kind == wordMessage {
+		s.Key = p.secret.Public().(ed25519.PublicKey)
+	}
+	return s, encode(kind, s)
+}
+
+func encode(kind byte, s sealed) []byte {
+	text, err := cbor.Marshal(s)
+	if err != nil {
+		return nil
+	}
+	return append([]byte{kind}, text...)
+}
+
+// open takes a message apart as far as no key is needed; a kind of 0 is one that this version does not know.
+func open(message []byte) (kind byte, s sealed, w members.Word, n members.Note, err error) {
+	if len(message) < 2 || len(message) > mostMessage {
+		return 0, s, w, n, errMessage
+	}
+	kind = message[0]
+	if kind != wordMessage && kind != noteMessage {
+		return 0, s, w, n, nil
+	}
+	if err = understood.Unmarshal(message[1:], &s); err != nil {
+		return 0, s, w, n, errMessage
+	}
+	if kind == wordMessage {
+		err = understood.Unmarshal(s.Text, &w)
+		w.AgeMs = max(0, s.AgeMs)
+		if len(s.Key) != ed25519.PublicKeySize {
+			err = errMessage
+		}
+	} else {
+		err = understood.Unmarshal(s.Text, &n)
+	}
+	if err != nil {
+		return 0, s, w, n, errMessage
+	}
+	return kind, s, w, n, nil
+}
+
+// vouched says whether a message is of the life that it names: of the key that its first word bound it to.
+func (p *Peers) vouched(kind byte, s sealed, id members.ID) error {
+	key, known := p.keys[id]
+	if !known {
+		if kind != wordMessage {
+			return errUnknown
+		}
+		key = s.Key
+	}
+	if kind == wordMessage && !bytes.Equal(key, s.Key) || len(s.Sign) != ed25519.SignatureSize ||
+		!ed25519.Verify(key, append([]byte{kind}, s.Text...), s.Sign) {
+		return errForged
+	}
+	return nil
+}
+
+// hear takes a message that came, on the worker. It says whether it was a word that was news.
+func (p *Peers) hear(message []byte) bool {
+	kind, s, w, n, err := open(message)
+	if err != nil {
+		p.Garbled.Add(1)
+		return false
+	}
+	switch kind {
+	case noteMessage:
+		if n.To == p.terms.Members.Me && p.vouched(kind, s, n.From) == nil {
+			p.accord.Take(n)
+		} else if n.To == p.terms.Members.Me {
+			p.view.Counts.Foreign++
+		}
+	case wordMessage:
+		if w.ID == p.terms.Members.Me {
+			return false
+		}
+		if m := p.view.Member(w.ID); m != nil && w.Seq <= m.Seq && m.Seq > 0 {
+			p.view.Counts.Old++ // most come by several ways: those are not looked at closely
+			return false
+		}
+		if p.vouched(kind, s, w.ID) != nil {
+			p.view.Counts.Foreign++
+			return false
+		}
+		if p.view.Hear(w) {
+			p.keys[w.ID], p.words[w.ID] = s.Key, s
+			return true
+		}
+	}
+	return false
+}
+
+// tidy forgets keys and words of lives that the view has dropped.
+func (p *Peers) tidy() {
+	for id := range p.keys {
+		if p.view.Member(id) == nil {
+			delete(p.keys, id)
+			delete(p.words, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/fleet/fleet.go
@@ -0,0 +1,348 @@
+// Package fleet starts several processes of the program on loopback with stand-ins, has them talk through relays, and does to
+// both what a script says: links that lose, delay, repeat and cut, processes that are killed, stopped, let go on and begun
+// again with nothing kept. It keeps one history of what was done and said. It must never decide anything for a server, nor
+// touch a process that it did not start.
+package fleet
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"thistlequay/internal/peers"
+	"thistlequay/internal/standin"
+)
+
+// Plan is what a rig is begun with.
+type Plan struct {
+	Servers  int
+	Seed     int64
+	Dir      string   // for files
+	Program  string   // and its environment, beyond this process's
+	Env      []string //
+	Settings map[string]any
+	Cores    float64 // of each interpreter
+	Talk     bool    // the servers know each other
+	Size     int     // servers that the section names; Servers where 0
+	Lease    time.Duration
+	StopIn   time.Duration
+	Index    *standin.Index // shared by all
+	Memory   int            // MB
+}
+
+// Rig is a fleet of processes.
+type Rig struct {
+	Plan
+	Servers   []*Server
+	Directory *standin.Directory
+	relays    *relays
+	lock      sync.Mutex
+	begun     time.Time
+	history   []Happened
+}
+
+// Happened is one entry of the history.
+type Happened struct {
+	At     time.Duration
+	Server string
+	What   string
+}
+
+// Server is one process with its stand-ins.
+type Server struct {
+	rig     *Rig
+	Index   int
+	Name    string
+	Zone    string
+	Listen  string // for routers
+	Status  string
+	VM      *standin.Interpreter
+	relay   *relay
+	process *exec.Cmd
+	ended   chan struct{}
+	Log     *Text
+	args    []string
+	key     string
+	fleet   string
+}
+
+// Text is a log that is read while it is written.
+type Text struct {
+	lock sync.Mutex
+	text strings.Builder
+}
+
+func (t *Text) Write(b []byte) (int, error) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.text.Write(b)
+}
+
+func (t *Text) String() string {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.text.String()
+}
+
+// Founders are the servers that form the first fleet.
+const Founders = 3
+
+// Key is what all of a rig's servers talk under unless told otherwise.
+var Key = base64.StdEncoding.EncodeToString([]byte("the key of a rig"))
+
+// New makes the parties; Start starts a server.
+func New(p Plan) (*Rig, error) {
+	r := &Rig{Plan: p, relays: newRelays(p.Seed), begun: time.Now()}
+	var err error
+	if r.Directory, err = standin.NewDirectory(); err != nil {
+		return nil, err
+	}
+	if r.Index == nil {
+		if r.Index, err = standin.NewIndex(); err != nil {
+			return nil, err
+		}
+	}
+	for i := range p.Servers {
+		if _, err := r.Add(i); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// Add makes one more server, with the number given as its place.
+func (r *Rig) Add(i int) (s *Server, err error) {
+	s = &Server{rig: r, Index: i, Name: fmt.Sprintf("n%02d", i), Zone: fmt.Sprint("z", i%3), Log: &Text{}, key: Key, fleet: "rig"}
+	if s.Listen, err = standin.Free(); err != nil {
+		return nil, err
+	}
+	if s.Status, err = standin.Free(); err != nil {
+		return nil, err
+	}
+	if s.VM, err = standin.NewInterpreter(r.Cores, r.Seed+int64(i)); err != nil {
+		return nil, err
+	}
+	if r.Talk {
+		host := fmt.Sprintf("127.77.%d.%d", i>>8, i&255+1)
+		at, errAt := free(fmt.Sprintf("127.78.%d.%d", i>>8, i&255+1))
+		behind, errBehind := free(host)
+		if errAt != nil || errBehind != nil {
+			return nil, fmt.Errorf("no address for the talk: %v %v", errAt, errBehind)
+		}
+		r.relays.lock.Lock()
+		r.relays.whose[host] = i
+		r.relays.lock.Unlock()
+		if s.relay, err = r.relays.relay(i, at, behind); err != nil {
+			return nil, err
+		}
+	}
+	r.Servers = append(r.Servers, s)
+	return s, nil
+}
+
+// free is an address of the host on which neither TCP nor UDP is in use.
+func free(host string) (string, error) {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Tell notes something in the history.
+func (r *Rig) Tell(server, what string, args ...any) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.history = append(r.history, Happened{time.Since(r.begun), server, fmt.Sprintf(what, args...)})
+}
+
+// History is what was done and concluded so far.
+func (r *Rig) History() []Happened {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return append([]Happened(nil), r.history...)
+}
+
+// As changes what a server is begun with: its name, its fleet, its key (base64, a line each), more arguments.
+func (s *Server) As(name, fleet, key string, args ...string) *Server {
+	if name != "" {
+		s.Name = name
+	}
+	if fleet != "" {
+		s.fleet = fleet
+	}
+	if key != "" {
+		s.key = key
+	}
+	s.args = args
+	return s
+}
+
+// Start starts the process of a server. What an earlier life of it knew is gone.
+func (s *Server) Start() error {
+	r := s.rig
+	stop, memory := r.StopIn, r.Memory
+	if stop == 0 {
+		stop = 3 * time.Second
+	}
+	if memory == 0 {
+		memory = 64
+	}
+	config := map[string]any{"name": s.Name, "listen": s.Listen, "vm": s.VM.Address, "index": r.Index.Address, "lookup": r.Directory.Address,
+		"seed": fmt.Sprintf("%016x", r.Seed+int64(s.Index)), "stop_ms": stop.Milliseconds(),
+		"limits": map[string]any{"cores": 1, "memory_mb": memory, "sockets": 512}, "settings": r.Settings}
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	base := filepath.Join(r.Dir, fmt.Sprint(s.Name, "-", s.Index))
+	files := map[string]string{base + ".json": string(text)}
+	args := []string{"serve", "--config=" + base + ".json"}
+	if r.Talk {
+		var first, founders []string
+		for i := range min(Founders, r.Plan.Servers) {
+			first = append(first, r.Servers[i].relay.address)
+			founders = append(founders, fmt.Sprintf("n%02d", i))
+		}
+		size := r.Size
+		if size == 0 {
+			size = r.Plan.Servers
+		}
+		files[base+".keys"] = s.key + "\n"
+		files[base+".yaml"] = fmt.Sprintf("peers:\n  listen: %s\n  advertise: %s\n  first: [%s]\n  founders: [%s]\n  fleet: %s\n  servers: %d\n  zone: %s\n  key_file: %s\n  status: %s\n",
+			s.relay.behind, s.relay.address, strings.Join(first, ", "), strings.Join(founders, ", "), s.fleet, size, s.Zone, filepath.Base(base+".keys"), s.Status)
+		args = append(args, "--service="+base+".yaml")
+		if err := s.relay.up(); err != nil {
+			return err
+		}
+	}
+	for name, text := range files {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	s.process = exec.Command(r.Program, append(args, s.args...)...)
+	s.process.Env = append(append(os.Environ(), r.Env...), "THISTLEQUAY_SERVICE=")
+	s.process.Stdout, s.process.Stderr = s.Log, s.Log
+	if err := s.process.Start(); err != nil {
+		return err
+	}
+	ended, process := make(chan struct{}), s.process
+	s.ended = ended
+	go func() {
+		process.Wait()
+		if s.relay != nil {
+			s.relay.down() // no process is there: connections are refused
+		}
+		close(ended)
+	}()
+	r.Tell(s.Name, "started")
+	return nil
+}
+
+// Again gives the server other keys and has it read its files again, and waits until it has said so.
+func (s *Server) Again(keys string) error {
+	base := filepath.Join(s.rig.Dir, fmt.Sprint(s.Name, "-", s.Index))
+	if err := os.WriteFile(base+".keys", []byte(keys+"\n"), 0o600); err != nil {
+		return err
+	}
+	read := func() int { return strings.Count(s.Log.String(), "event=configuration_") }
+	before := read()
+	if err := s.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	for range 1000 {
+		if read() > before {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return errors.New("it does not read its files again")
+}
+
+// Signal sends a signal to the process of a server.
+func (s *Server) Signal(what os.Signal) error {
+	s.rig.Tell(s.Name, "%v", what)
+	return s.process.Process.Signal(what)
+}
+
+// Kill kills it and waits for its end; connections to its address are refused from then on.
+func (s *Server) Kill() error {
+	err := s.Signal(syscall.SIGKILL)
+	<-s.ended
+	return err
+}
+
+// Ended is closed when the process has ended.
+func (s *Server) Ended() <-chan struct{} { return s.ended }
+
+// Exit is its exit code, once it has ended.
+func (s *Server) Exit() int { return s.process.ProcessState.ExitCode() }
+
+// Process is its number.
+func (s *Server) Process() int { return s.process.Process.Pid }
+
+// View asks the server for its view.
+func (s *Server) View() (peers.Report, error) { return peers.Fetch(s.Status) }
+
+// Link sets the fault of one direction.
+func (r *Rig) Link(from, to int, f Fault) {
+	r.relays.lock.Lock()
+	defer r.relays.lock.Unlock()
+	r.relays.faults[[2]int{from, to}] = f
+}
+
+// Everywhere sets the fault of all directions.
+func (r *Rig) Everywhere(f Fault) {
+	r.Tell("", "everywhere %+v", f)
+	for i := range r.Servers {
+		for j := range r.Servers {
+			if i != j {
+				r.Link(r.Servers[i].Index, r.Servers[j].Index, f)
+			}
+		}
+	}
+}
+
+// Heal takes all faults away.
+func (r *Rig) Heal() { r.Everywhere(Fault{}) }
+
+// Split cuts the servers into groups by what of gives for each; all else is as it is without faults.
+func (r *Rig) Split(of func(s *Server) int) {
+	r.Tell("", "split")
+	for _, a := range r.Servers {
+		for _, b := range r.Servers {
+			if a != b {
+				r.Link(a.Index, b.Index, Fault{Cut: of(a) != of(b)})
+			}
+		}
+	}
+}
+
+// Close ends all that the rig started.
+func (r *Rig) Close() {
+	close(r.relays.ended)
+	for _, s := range r.Servers {
+		if s.process != nil {
+			_ = s.process.Process.Signal(syscall.SIGKILL)
+			<-s.ended
+		}
+		if s.relay != nil {
+			s.relay.down()
+			s.relay.packets.Close()
+		}
+		s.VM.Close()
+	}
+	r.Directory.Close()
+	r.Index.Close()
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,6 +21,7 @@
 	FairQueues *FairQueues `yaml:"fair_queues"`
 	Plugins    *Plugins    `yaml:"plugins"`
 	Store      *Store      `yaml:"store"`
+	Peers      *Peers      `yaml:"peers"`
 	file       string
 	places     faults.Places
 }
@@ -108,8 +109,8 @@
 	if t.places, err = faults.YAML(bytes.NewReader(text), t); err != nil {
 		return nil, faults.Of(err).In(file)
 	}
-	if l := append(faults.Of(t.FairQueues.check()), faults.Of(t.Plugins.check(file))...); len(l) > 0 {
-		return nil, t.places.Locate(l).In(file)
+	if l := append(faults.Of(t.FairQueues.check()), faults.Of(t.Plugins.check(file))...); len(l)+len(faults.Of(t.Peers.check())) > 0 {
+		return nil, t.places.Locate(append(l, faults.Of(t.Peers.check())...)).In(file)
 	}
 	return t, nil
 }
--- a/internal/standin/below.go
+++ b/internal/standin/below.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,7 +17,9 @@
 	*Listener
 	Delay  time.Duration
 	Script func(n int) string // HIT, SHED, BROKEN, SLOW, NOBODY, silence, reset or noise for the n-th call; nil: HIT
+	Most   int                // calls in hand beyond which more are turned away; 0 for no bound
 	calls  chan int
+	inHand atomic.Int64
 }
 
 // NewIndex starts one.
@@ -59,7 +62,12 @@
 		if x.Script != nil {
 			reply = x.Script(n)
 		}
-		time.Sleep(x.Delay)
+		if in := x.inHand.Add(1); x.Most > 0 && in > int64(x.Most) {
+			reply = "SHED"
+		} else {
+			time.Sleep(x.Delay)
+		}
+		x.inHand.Add(-1)
 		switch reply {
 		case "silence":
 		case "reset":
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -33,6 +33,7 @@
 	Cores  Cores
 	Calls  float64           // chance that a run makes a call half way
 	Script func(n int) Spoil // by the number of the notice; nil: all are fine
+	Cold   bool              // says that it has only just come up
 
 	lock    sync.Mutex
 	rand    *rand.Rand
@@ -171,7 +172,11 @@
 				v.link.Close()
 			}
 			v.link = link
-			fmt.Fprintf(link, `{"type":"BANNER","state":"WARM","took":3600000}`+"\n")
+			state, took := "WARM", 3600000
+			if v.Cold {
+				state, took = "COLD", 0
+			}
+			fmt.Fprintf(link, `{"type":"BANNER","state":%q,"took":%d}`+"\n", state, took)
 			for _, line := range v.notices[min(c.N, len(v.notices)):] {
 				link.Write(line)
 			}
