--- a/internal/rehearsal/fleet/fleet.go
+++ b/internal/rehearsal/fleet/fleet.go
@@ -48,6 +48,7 @@
 	lock      sync.Mutex
 	begun     time.Time
 	history   []Happened
+	closed    bool
 }
 
 // Happened is one entry of the history.
@@ -329,8 +330,12 @@
 	}
 }
 
-// Close ends all that the rig started.
+// Close ends all that the rig started; a second one does nothing.
 func (r *Rig) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
 	close(r.relays.ended)
 	for _, s := range r.Servers {
 		if s.process != nil {
