--- a/members/accord.go
+++ b/members/accord.go
@@ -342,10 +342,16 @@
 	if next.Count <= a.least()/2 {
 		return
 	}
+	a.retry = now + a.terms.Settle/2*Moment(1+rank)
+	a.begin(next)
+}
+
+// begin puts a fleet to those who vote on it, under a ballot above all that this server has seen.
+func (a *Accord) begin(next Fleet) {
 	a.round = max(a.round, a.promised.Round) + 1
 	a.ballot, a.best, a.promises, a.accepts = Ballot{a.round, a.terms.Me}, Ballot{}, nil, nil
 	a.proposal = &next
-	a.retry = now + a.terms.Settle/2*Moment(1+rank)
+	voters, _ := a.electorate()
 	for _, id := range voters {
 		a.send(id, Note{Kind: Prepare, Ballot: a.ballot})
 	}
