Shares: grants of a whole fleet's limits, decided without I/O; not used yet

Need: each server guesses its part of the index from a fixed number of servers; after a loss that wastes, after a join or in a split it overruns. Agreement, talk and the seam to the module are still to come.

--- /dev/null
+++ b/shares/holder.go
@@ -0,0 +1,88 @@
+package shares
+
+// This file owns a server's side: what it may use at this moment and what it asks for. The check is made anew at each use, by
+// the server's own clock, so that one that stood still finds its grant over before it uses it. It must never use more than
+// its floor without a grant, nor say that it keeps to one while it has more in hand.
+
+// Holder is one server's part of one limit. Its methods take the time by the server's clock; they allocate nothing.
+type Holder struct {
+	terms  Terms
+	name   string
+	slot   bool // it has a floor
+	serial uint64
+	amount Amount
+	until  Moment
+	inHand Amount
+	peak   Amount // the most that was in hand since the last request
+	short  bool   // and something was turned away
+	next   Moment
+}
+
+// NewHolder holds nothing but its floor, where it has a slot.
+func NewHolder(name string, t Terms, slot bool) *Holder {
+	return &Holder{terms: t, name: name, slot: slot}
+}
+
+// Usable is what may be in hand now, in all.
+func (h *Holder) Usable(now Moment) Amount {
+	sum := Amount(0)
+	if h.slot {
+		sum = h.terms.Floor
+	}
+	if now < h.until {
+		sum += h.amount
+	}
+	return sum
+}
+
+// Begin takes a part into use, and says whether there was room. What is turned away is asked for.
+func (h *Holder) Begin(n Amount, now Moment) bool {
+	if h.inHand+n > h.Usable(now) {
+		h.short = true
+		return false
+	}
+	h.inHand += n
+	h.peak = max(h.peak, h.inHand)
+	return true
+}
+
+// End gives a part back.
+func (h *Holder) End(n Amount) { h.inHand = max(0, h.inHand-n) }
+
+const askParts = 4 // a grant is asked for so often in its length
+
+// Ask gives the request that is due; none between two.
+func (h *Holder) Ask(now Moment) (r Request, due bool) {
+	if now < h.next {
+		return r, false
+	}
+	h.next = now + max(1, h.terms.Length/askParts)
+	floor := Amount(0)
+	if h.slot {
+		floor = h.terms.Floor
+	}
+	wants := h.peak + h.peak/headroom
+	if h.short { // how much more it could use it cannot know: twice as much, until nothing is turned away
+		wants = 2 * max(h.peak, Unit)
+	}
+	r = Request{Server: h.name, Asked: now, Wants: max(0, wants-floor)}
+	if h.peak, h.short = h.inHand, false; h.inHand <= floor+h.amount {
+		r.Holds = h.serial
+	}
+	return r, true
+}
+
+const headroom = 8 // one part in so many more than what was used at most is asked for
+
+// Answered takes an answer: of a later number, or the same once more. It holds from when it was asked, less what clocks may
+// run apart. A smaller amount is in force at once.
+func (h *Holder) Answered(a Answer, now Moment) {
+	if a.Serial < h.serial || a.Asked > now || a.Amount < 0 || a.Length != h.terms.Length {
+		return
+	}
+	until := a.Asked + Moment(float64(h.terms.Length)*(1-h.terms.Drift))
+	if a.Serial > h.serial {
+		h.serial, h.amount, h.until = a.Serial, a.Amount, until
+	}
+	h.until = max(h.until, until)
+}
