--- a/members/accord.go
+++ b/members/accord.go
@@ -12,7 +12,7 @@
 	"slices"
 )
 
-// Voter is a life and its address: a later life there proves that this one is over.
+// Voter is a life and its address: another life there proves that this one is over.
 type Voter struct {
 	ID
 	Address string `cbor:"3,keyasint"`
@@ -162,7 +162,8 @@
 		m := a.view.Member(v.ID)
 		holder, is := a.view.Holder(v.Name)
 		over := m != nil && m.over
-		if h := a.view.Member(holder); is && h != nil && holder.Life > v.Life && h.Address == v.Address && h.there() {
+		// Another life has been on its address for longer than one that is over is held to be there.
+		if h := a.view.Member(holder); is && h != nil && holder != v.ID && h.Address == v.Address && h.there() && a.view.now-h.First > a.terms.SwingFor {
 			over = true
 		}
 		if !over {
--- a/members/members.go
+++ b/members/members.go
@@ -322,7 +322,7 @@
 }
 
 // name settles who has a name, the same way at all who know the same: the earliest life that is there and whose address
-// no later one has, so that a second process started by mistake takes nothing from the first.
+// none has that came after it, so that a second process started by mistake takes nothing from the first.
 func (v *View) name(name string) {
 	var lives []*Member
 	for _, m := range v.named[name] {
@@ -331,9 +331,9 @@
 		}
 	}
 	var holder *Member
-	for i, m := range lives {
-		if slices.ContainsFunc(lives[i+1:], func(l *Member) bool { return l.Address == m.Address && l.Address != "" }) {
-			m.over = true // two processes never listen on one address: this one is over
+	for _, m := range lives {
+		if slices.ContainsFunc(lives, func(l *Member) bool { return v.after(l, m) }) {
+			m.over = true
 			v.to(m, Gone, Replaced)
 		} else if holder == nil || !holder.there() && m.there() {
 			holder = m
@@ -355,6 +355,13 @@
 	}
 }
 
+// after says that a life came after another on the same address: two processes never listen on one, so the other is over. The
+// numbers of lives don't tell it, as a machine's clock may have been set back; when they were first heard of does, where that
+// was not at nearly the same time.
+func (v *View) after(l, m *Member) bool {
+	return l.Address == m.Address && l.Address != "" && l.First-m.First > v.terms.Settle
+}
+
 // there says whether a life speaks: it has not been suspected since, or only its name is another's.
 func (m *Member) there() bool { return m.State < Suspected || m.Cause == NameTaken }
 
