--- a/internal/peers/delegate.go
+++ b/internal/peers/delegate.go
@@ -111,6 +111,7 @@
 	}
 	w = members.Word{ID: id, Zone: w.Zone, Address: n.Address()} // its own first word has the rest
 	(*Peers)(d).do(func() {
+		d.joined[id] = true
 		if d.view.Member(id) == nil {
 			d.view.Hear(w)
 		}
@@ -123,6 +124,7 @@
 	id, _ := idOf(n.Name)
 	left := n.State == memberlist.StateLeft
 	(*Peers)(d).do(func() {
+		delete(d.joined, id)
 		if left {
 			d.view.Left(id)
 		} else {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -86,6 +86,7 @@
 	secret   ed25519.PrivateKey // of this life
 	keys     map[members.ID]ed25519.PublicKey
 	words    map[members.ID]sealed    // the newest of each life, as it was sealed
+	joined   map[members.ID]bool      // lives that the library holds to be there
 	sync     atomic.Pointer[[][]byte] // words as they go out at a full exchange, made anew at each look
 	Dropped  atomic.Int64             // messages that found the inbox full
 	Garbled  atomic.Int64             // messages that were not understood
@@ -99,6 +100,7 @@
 	}
 	p := &Peers{terms: t, inbox: make(chan func(), mostWaiting), kick: make(chan struct{}, 1), done: make(chan struct{}), begun: t.Now()}
 	p.own.Store(&Own{State: members.Joining})
+	p.joined = map[members.ID]bool{}
 	p.keys, p.words = map[members.ID]ed25519.PublicKey{}, map[members.ID]sealed{}
 	_, secret, err := ed25519.GenerateKey(nil)
 	if err != nil {
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -127,6 +127,9 @@
 		if w.ID == p.terms.Members.Me {
 			return false
 		}
+		if p.view.Member(w.ID) == nil && !p.joined[w.ID] {
+			return false // words of the dead go on for a while: who is there the library tells first
+		}
 		if m := p.view.Member(w.ID); m != nil && w.Seq <= m.Seq && m.Seq > 0 {
 			p.view.Counts.Old++ // most come by several ways: those are not looked at closely
 			return false
