Peers: a member's key is on its card, and what nobody vouches for is counted apart

The others were notes of members whose first word had not come yet; and until it came, the first word in a member's name, whoever said it, would have bound its key. At fault: internal/peers/seal.go, hear and vouched. Change: the key goes with what the library tells of a member as it joins; notes of lives that were not heard of are counted as unknown, not as forged.

--- a/internal/peers/delegate.go
+++ b/internal/peers/delegate.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"crypto/ed25519"
 	"errors"
 	"fmt"
 	"net"
@@ -35,9 +36,15 @@
 // delegate is the talk as the library sees it.
 type delegate Peers
 
-// NodeMeta is where the member is: what a newcomer must know of it before its first word.
+// card is what the others must know of a member before its first word.
+type card struct {
+	Key  []byte `cbor:"1,keyasint"` // that its words and notes are sealed by
+	Zone string `cbor:"2,keyasint,omitempty"`
+}
+
+// NodeMeta is the server's own card.
 func (d *delegate) NodeMeta(limit int) []byte {
-	text, err := cbor.Marshal(members.Word{ID: d.terms.Members.Me, Zone: d.terms.Members.Zone})
+	text, err := cbor.Marshal(card{Key: d.secret.Public().(ed25519.PublicKey), Zone: d.terms.Members.Zone})
 	if err != nil || len(text) > limit {
 		return nil
 	}
@@ -105,13 +112,16 @@
 
 func (d *delegate) NotifyJoin(n *memberlist.Node) {
 	id, _ := idOf(n.Name)
-	w := members.Word{ID: id}
-	if understood.Unmarshal(n.Meta, &w) != nil || w.ID != id {
-		w = members.Word{ID: id}
+	var c card
+	if understood.Unmarshal(n.Meta, &c) != nil || len(c.Key) != ed25519.PublicKeySize {
+		c = card{} // of another version: its first word binds its key
 	}
-	w = members.Word{ID: id, Zone: w.Zone, Address: n.Address()} // its own first word has the rest
+	w := members.Word{ID: id, Zone: c.Zone, Address: n.Address()} // its own first word has the rest
 	(*Peers)(d).do(func() {
 		d.joined[id] = true
+		if _, known := d.keys[id]; !known && c.Key != nil {
+			d.keys[id] = c.Key
+		}
 		if d.view.Member(id) == nil {
 			d.view.Hear(w)
 		}
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -93,7 +93,7 @@
 	return kind, s, w, n, nil
 }
 
-// vouched says whether a message is of the life that it names: of the key that its first word bound it to.
+// vouched says whether a message is of the life that it names: of the key on its card, or else in its first word.
 func (p *Peers) vouched(kind byte, s sealed, id members.ID) error {
 	key, known := p.keys[id]
 	if !known {
@@ -118,9 +118,15 @@
 	}
 	switch kind {
 	case noteMessage:
-		if n.To == p.terms.Members.Me && p.vouched(kind, s, n.From) == nil {
+		if n.To != p.terms.Members.Me {
+			return false
+		}
+		switch p.vouched(kind, s, n.From) {
+		case nil:
 			p.accord.Take(n)
-		} else if n.To == p.terms.Members.Me {
+		case errUnknown: // it may be on its way
+			p.view.Counts.Unknown++
+		default:
 			p.view.Counts.Foreign++
 		}
 	case wordMessage:
--- a/members/members.go
+++ b/members/members.go
@@ -172,7 +172,7 @@
 }
 
 // Counts are what was turned away, from the start.
-type Counts struct{ Insane, Old, Foreign, Full, FalseAlarms, NameTaken int }
+type Counts struct{ Insane, Old, Foreign, Unknown, Full, FalseAlarms, NameTaken int }
 
 // Event is one change of state, for the log.
 type Event struct {
