One log of a process in tests, one reading of a message, a figure that nothing used is gone

Need: read again, the tests had the rig's log of a process twice, a word that came was taken apart twice on its way to the others, and a plan of a rig had a lease that nobody read. Change: lines is fleet.Text; hear gives the word that it read; the figure is out. Behaviour and assertions as they were. Measured: gofmt and vet with both tags; the tests of peers, of the rehearsal and those over sockets that use the log pass.

--- a/cmd/thistlequay/standins_test.go
+++ b/cmd/thistlequay/standins_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -11,13 +10,13 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"thistlequay/internal/rehearsal/fleet"
 	"thistlequay/internal/standin"
 )
 
@@ -164,22 +163,7 @@
 }
 
 // lines is a log that is read while it is written.
-type lines struct {
-	lock sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *lines) Write(b []byte) (int, error) {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *lines) String() string {
-	l.lock.Lock()
-	defer l.lock.Unlock()
-	return l.text.String()
-}
+type lines = fleet.Text
 
 func logOf(r *rig) string { return r.log.String() }
 
--- a/internal/peers/delegate.go
+++ b/internal/peers/delegate.go
@@ -67,11 +67,8 @@
 		return
 	}
 	p.do(func() {
-		if p.hear(text) {
-			_, _, w, _, _ := open(text)
-			if w.AgeMs == 0 {
-				p.queue.QueueBroadcast(&rumour{id: w.ID, seq: w.Seq, text: text})
-			}
+		if w, news := p.hear(text); news && w.AgeMs == 0 {
+			p.queue.QueueBroadcast(&rumour{id: w.ID, seq: w.Seq, text: text})
 		}
 	})
 }
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -109,17 +109,17 @@
 	return nil
 }
 
-// hear takes a message that came, on the worker. It says whether it was a word that was news.
-func (p *Peers) hear(message []byte) bool {
+// hear takes a message that came, on the worker. It gives a word, and says whether that was news.
+func (p *Peers) hear(message []byte) (w members.Word, news bool) {
 	kind, s, w, n, err := open(message)
 	if err != nil {
 		p.Garbled.Add(1)
-		return false
+		return w, false
 	}
 	switch kind {
 	case noteMessage:
 		if n.To != p.terms.Members.Me {
-			return false
+			return w, false
 		}
 		switch p.vouched(kind, s, n.From) {
 		case nil:
@@ -131,25 +131,25 @@
 		}
 	case wordMessage:
 		if w.ID == p.terms.Members.Me {
-			return false
+			return w, false
 		}
 		if p.view.Member(w.ID) == nil && !p.joined[w.ID] {
-			return false // words of the dead go on for a while: who is there the library tells first
+			return w, false // words of the dead go on for a while: who is there the library tells first
 		}
 		if m := p.view.Member(w.ID); m != nil && w.Seq <= m.Seq && m.Seq > 0 {
 			p.view.Counts.Old++ // most come by several ways: those are not looked at closely
-			return false
+			return w, false
 		}
 		if p.vouched(kind, s, w.ID) != nil {
 			p.view.Counts.Foreign++
-			return false
+			return w, false
 		}
 		if p.view.Hear(w) {
 			p.keys[w.ID], p.words[w.ID] = s.Key, s
-			return true
+			return w, true
 		}
 	}
-	return false
+	return w, false
 }
 
 // tidy forgets keys and words of lives that the view has dropped.
--- a/internal/rehearsal/fleet/fleet.go
+++ b/internal/rehearsal/fleet/fleet.go
@@ -34,7 +34,6 @@
 	Cores    float64 // of each interpreter
 	Talk     bool    // the servers know each other
 	Size     int     // servers that the section names; Servers where 0
-	Lease    time.Duration
 	StopIn   time.Duration
 	Index    *standin.Index // shared by all
 	Memory   int            // MB
