Windows by Received-At at both ends, also of 0 and where clocks are ahead or set

Read line by line, proven by tests that fail on: - items.before compared a repeat's Received-At alone with the window's end: one written within it by a router whose clock is ahead (1 s is let pass) ran a second time (TestRepeatsByClocksThatAreAhead, TestAWindowWhereClocksAreAhead). - Remember counted the window from the reading where Received-At was ahead of it, so it ended early (the same tests). - fade dropped a stamp under its run: those that shared it were told 500 though it went on (TestARunBeyondItsWindow). - a window of 0 was refused at the start; now only one that is absent is (TestAWindowOfZeroServes, TestAWindowOfZero; TestFaultsWithTheirPlaces keeps the fault with the key taken out). - a budget beyond the class's deadline moved the due time past it (TestABudgetBeyondTheDeadline: 1.75 s, due in 0.9 s). - stamps were kept by the longest expiry of all classes while the module's books let them go at their window: with short windows the table outgrew its bound. The module now books as long as they are kept; the part of memory goes from a quarter to a third, which leaves a window of 35 s and a deadline of 7 s the room they had. - the app's time stood still for as long as the system's clock was set back, and with it every answer (TestAClockThatIsSet, without I/O). It goes on evenly now, and Received-At is read by the clock as it is set. Ruled out: a give-up, a lost link and a reply in doubt keep the stamp as ran; neverBegun frees it only by proof.

--- a/cmd/thistlequay/races_test.go
+++ b/cmd/thistlequay/races_test.go
@@ -228,6 +228,71 @@
 	r.Less(time.Since(from), 600*time.Millisecond)
 }
 
+// A repeat whose router's clock is ahead was written within the window all the same: it shares what ran. A window of 0 is
+// a window, after which a request runs anew.
+func TestRepeatsByClocksThatAreAhead(t *testing.T) {
+	r := prepare(t)
+	r.config = strings.Replace(r.config, `"Window":30000.0`, `"Window":300.0`, 1)
+	r.run()
+	v := r.up(0)
+	c := r.router()
+	book := func(slot uint16, key string, ahead int64) string {
+		with := fields(r.id())
+		at, err := strconv.ParseInt(with["HTTP_RECEIVED_AT"], 10, 64)
+		r.NoError(err)
+		with["HTTP_RECEIVED_AT"], with["HTTP_ONCE_KEY"] = strconv.FormatInt(at+ahead, 10), key
+		c.ask(slot, "/rpc/book", "entry "+key, with)
+		return with["HTTP_REQUEST_ID"]
+	}
+	id := book(1, "k", 0)
+	v.applied(id, "entry k")
+	v.value(id, "OK", "ran")
+	c.answered(1, 200, "ran")
+	book(2, "k", 900)
+	c.answered(2, 200, "ran")
+	id = book(3, "l", 900) // and the window of one that is ahead counts from there
+	v.applied(id, "entry l")
+	v.value(id, "OK", "ran too")
+	c.answered(3, 200, "ran too")
+	ran := time.Now()
+	r.Eventually(func() bool { return time.Since(ran) > 400*time.Millisecond }, patience, time.Millisecond) // the window, from its reading
+	book(4, "l", 0)
+	c.answered(4, 200, "ran too")
+}
+
+func TestAWindowOfZeroServes(t *testing.T) {
+	r := prepare(t)
+	r.config = strings.Replace(r.config, `"Window":30000.0`, `"Window":0.0`, 1)
+	r.run()
+	v := r.up(0)
+	c := r.router()
+	id := c.book(1, "k")
+	v.applied(id, "entry k")
+	shares := c.book(2, "k") // while it runs, there is a result to share
+	v.value(id, "OK", "once")
+	c.answered(1, 200, "once")
+	c.answered(2, 200, "once")
+	r.NotEqual(id, shares)
+	ended := time.Now()
+	r.Eventually(func() bool { return time.Since(ended) > 20*time.Millisecond }, patience, time.Millisecond)
+	id = c.book(3, "k") // after it, a new request
+	v.applied(id, "entry k")
+	v.value(id, "OK", "twice")
+	c.answered(3, 200, "twice")
+}
+
+// No caller waits longer than its class allows, whatever it says: the answer is there by then.
+func TestABudgetBeyondTheDeadline(t *testing.T) {
+	r, v := start(t)
+	c, with := r.router(), fields(r.id())
+	with["HTTP_BUDGET_MS"] = "1750" // of a class with 900
+	c.ask(1, "/rpc/brief", "b", with)
+	v.applied(with["HTTP_REQUEST_ID"], "b")
+	from := time.Now()
+	c.answered(1, 500, "")
+	r.Less(time.Since(from), 1300*time.Millisecond)
+}
+
 // The system grants fewer descriptors than the configuration: a flood is turned away, nothing ends.
 func TestFewerDescriptorsThanTold(t *testing.T) {
 	r := prepare(t)
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -8,6 +8,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 
 	"github.com/panjf2000/gnet/v2"
@@ -315,6 +316,10 @@
 		terms := a.place.Terms.Deployment
 		terms.Cold = state == "COLD"
 		terms.Spread = a.chance.Float64()
+		terms.Categories = slices.Clone(terms.Categories)
+		for i, c := range terms.Categories {
+			terms.Categories[i].Window = kept(c)
+		}
 		// Stamps and results lie in this process's memory, not in the interpreter's that the settings speak of.
 		terms.EntryKb, terms.Entries = 0, max(1, a.place.Memory/stampsPart/stampSize-a.keeping.recalled())
 		terms.Learnt = a.keeping.begin()
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -20,7 +20,7 @@
 	mostBody   = 2 << 10
 	mostResult = 4 << 10
 	mostKey    = 64
-	stampsPart = 4                 // one part in so many of the memory is for stamps
+	stampsPart = 3                 // one part in so many of the memory is for stamps
 	stampSize  = mostResult + 1024 // what one takes at most
 	ahead      = 1000              // ms that a router's clock may be ahead
 	budgets    = 2                 // expiries: what waits longer than so many cannot be meant
@@ -35,9 +35,8 @@
 	stamps  map[string]*stamp
 	due     []*item // that share a result which is there, or will not come
 	lapsed  []*item // answered, and their runs in doubt
-	longest admission.Tenths
-	wake    alarm // the module's
-	refused int   // requests that could not be taken
+	wake    alarm   // the module's
+	refused int     // requests that could not be taken
 }
 
 // item is one work item, from its reading until the module is through with it.
@@ -94,17 +93,19 @@
 	result  []byte            // as the interpreter gave it
 	until   admission.Tenths  // tries that reached the machine before this repeat it
 	fade    alarm             // none that did can still be unread after this
+	faded   bool              // it is after this, and a try still runs
 	sharers []*item
 }
 
 func (t *items) start(a *App) {
 	t.app, t.byID, t.stamps = a, map[string]*item{}, map[string]*stamp{}
 	t.wake.ring = a.interpreter.wake
-	for _, c := range a.place.Terms.Categories {
-		t.longest = max(t.longest, c.Expiry)
-	}
 }
 
+// kept is how long a stamp is kept from the Received-At of the try that ran: after its window a repeat that came within it
+// may lie unread until its caller gives up, by a clock that may be ahead.
+func kept(c admission.Category) admission.Tenths { return c.Window + c.Expiry + ahead*10 }
+
 func (t *items) inHand() int { return len(t.byID) }
 
 // take reads a whole request. One that cannot be a work item is answered with a status that says why.
@@ -169,6 +170,9 @@
 	t.app.plugins.ends(it)
 }
 
+// margin is what the module itself adds to windows, at least.
+func (t *items) margin() admission.Tenths { return 2*t.app.place.Terms.Period + 2 }
+
 // stampKey names the tries of one stamped work item: no result for another category.
 func (t *items) stampKey(it *item) string {
 	if t.app.place.Terms.Categories[it.category].Effect != admission.Stamped {
@@ -180,7 +184,8 @@
 // before gives the stamp that a work item repeats.
 func (t *items) before(it *item) *stamp {
 	m := t.stamps[t.stampKey(it)]
-	if m != nil && m.owner == nil && it.reached >= m.until {
+	// What has been read was written before: a router whose clock is ahead does not carry a repeat past the window.
+	if m != nil && m.owner == nil && min(it.reached, it.taken) >= m.until {
 		t.drop(m)
 		return nil
 	}
@@ -238,7 +243,11 @@
 			t.drop(before)
 		}
 		m := &stamp{key: key, body: print, owner: it, until: never}
-		m.fade.ring = func() { t.drop(m) }
+		m.fade.ring = func() {
+			if m.faded = true; m.owner == nil {
+				t.drop(m)
+			}
+		}
 		it.stamp, t.stamps[key] = m, m
 	}
 }
@@ -307,7 +316,8 @@
 		return it, "400 Request-Id is in hand already"
 	}
 	stampedAt, err := strconv.ParseInt(string(f[fieldReached]), 10, 64)
-	if now := int64(t.app.now / 10); err != nil || stampedAt < 0 || stampedAt > now+ahead {
+	shift := t.app.clock.shift
+	if now := int64((t.app.now + shift) / 10); err != nil || stampedAt < 0 || stampedAt > now+ahead {
 		return it, "400 Received-At"
 	}
 	budget, ok := number(f[fieldBudget], 0, float64(of.Expiry)/10*budgets)
@@ -332,8 +342,8 @@
 		return it, "400 Once-Key"
 	}
 	it.key = f[fieldKey]
-	it.reached = admission.Tenths(stampedAt * 10)
-	it.until = it.reached + deployment.Down(budget)
+	it.reached = admission.Tenths(stampedAt*10) - shift
+	it.until = it.reached + min(deployment.Down(budget), of.Expiry) // no answer counts after that, whoever waits
 	it.arrival.Caller, it.arrival.HeldKb = int(caller), held
 	if it.tenant = f[fieldTenant]; t.app.place.Tenancy != nil {
 		it.tenant = []byte(t.app.place.Tenancy.Tenant(c.peerAddress(), f[fieldRemote]))
@@ -523,8 +533,11 @@
 func (t *items) Remember(w *admission.WorkItem, span admission.Tenths) {
 	it := t.of(w)
 	m := it.stamp
-	m.until = t.app.now + span
-	t.app.set(&m.fade, m.until+t.longest)
+	// The window counts from Received-At, also where that is ahead of this clock; the module, which counts from when it was
+	// read, has the stamp in its books for as long as it is kept.
+	c := t.app.place.Terms.Categories[it.category]
+	m.until = it.reached + c.Window + t.margin()
+	t.app.set(&m.fade, max(t.app.now+span, it.reached+kept(c)))
 }
 
 func (t *items) Forget(w *admission.WorkItem) {
@@ -545,7 +558,7 @@
 	}
 	t.app.must(it.conn == nil, "over without an answer")
 	if m := it.stamp; m != nil && m.owner == it {
-		if m.owner = nil; !m.ran {
+		if m.owner = nil; !m.ran || m.faded {
 			t.drop(m)
 		}
 	}
--- a/internal/appserver/lasting.go
+++ b/internal/appserver/lasting.go
@@ -45,13 +45,17 @@
 		return
 	}
 	k.store, k.until = l.Store, l.Store.DeclineUntil
-	k.next = uint64(clock()) << 20 // tries of other lives have other numbers
+	k.next = uint64(a.clock.now()) << 20 // tries of other lives have other numbers
+	longest := admission.Tenths(ahead * 10)
+	for _, c := range a.place.Terms.Categories {
+		longest = max(longest, c.Expiry+ahead*10)
+	}
 	l.Tell(func(done []store.Done) { a.do(func() { k.told(done) }) })
 	for _, f := range l.Store.Fates {
 		m := &stamp{key: f.Key, body: f.Print, ran: true, ended: true, well: f.Ended && f.Well, result: f.Result, until: f.Until}
 		m.fade.ring = func() { a.items.drop(m) }
 		a.items.stamps[f.Key] = m
-		a.set(&m.fade, m.until+a.items.longest)
+		a.set(&m.fade, m.until+longest)
 	}
 }
 
@@ -81,7 +85,7 @@
 		return true
 	}
 	k.next++
-	until := it.reached + k.app.place.Terms.Categories[it.category].Window + k.margin()
+	until := it.reached + k.app.clock.shift + k.app.place.Terms.Categories[it.category].Window + k.app.items.margin()
 	err := k.store.Intend(lasting.Record{Key: key, Print: sha256.Sum256(it.body), Until: until, Try: k.next}, k.next)
 	switch {
 	case err == store.ErrFull:
@@ -120,9 +124,6 @@
 	}
 }
 
-// margin is what the module itself adds to windows, at least.
-func (k *keeping) margin() admission.Tenths { return 2*k.app.place.Terms.Period + 2 }
-
 func (k *keeping) decline(it *item, count *int, why string, away admission.Tenths) {
 	k.note(count, why)
 	k.app.items.untaken(it)
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -113,14 +114,7 @@
 	require.NoError(t, a.interpreter.traffic([]byte(`{"type":"VALUE","n":1,"job":"`+job+`","state":"OK","took":5,"data":"eA=="}`+"\n")))
 	require.Contains(t, string(c.out), "Status: 200 OK\r\n\r\nx")
 	again := func(reached string, now admission.Tenths) string {
-		a.now = now
-		a.server.At(now)
-		c.out = nil
-		text := strings.Replace(strings.Replace(request, job, "00000000000000ab", 1), "1000000", reached, 1)
-		require.NoError(t, c.parser.Feed([]byte(text), c))
-		a.items.settle()
-		a.server.Decide()
-		return string(c.out)
+		return takes(t, a, c, "00000000000000ab", reached, now)
 	}
 	require.Contains(t, again("1004999", 10_060_000), "Status: 200 OK\r\n\r\nx") // read after the window, sent within
 	require.Empty(t, again("1005100", 10_060_000))                               // sent after it: another run
@@ -203,3 +197,77 @@
 		require.Equal(t, used, c.lane == l)
 	}
 }
+
+// takes feeds one more try of the request at this moment and gives what is answered in the batch.
+func takes(t *testing.T, a *App, c *router, id, reached string, now admission.Tenths) string {
+	a.now = max(a.now, now)
+	a.server.At(a.now)
+	c.out = nil
+	text := strings.Replace(strings.Replace(request, job, id, 1), "1000000", reached, 1)
+	require.NoError(t, c.parser.Feed([]byte(text), c))
+	a.items.settle()
+	a.server.Decide()
+	return string(c.out)
+}
+
+// A window counts from Received-At, also where that router's clock was ahead, and a repeat counts as come when it was
+// read where its router's is. Both are of one second here.
+func TestAWindowWhereClocksAreAhead(t *testing.T) {
+	a, c := running(t) // it came at 1,000,000 ms, for 5,000
+	hear := func(id string) {
+		a.interpreter.last = 0
+		require.NoError(t, a.interpreter.traffic([]byte(`{"type":"VALUE","n":1,"job":"`+id+`","state":"OK","took":5,"data":"eA=="}`+"\n")))
+	}
+	hear(job)
+	require.Contains(t, takes(t, a, c, "00000000000000a1", "1005900", 10_049_900), "200 OK", "ahead by 910 ms, read within the window")
+	require.Empty(t, takes(t, a, c, "00000000000000a2", "1006950", 10_060_000), "read after the window: it runs, and is ahead by 950 ms")
+	hear("00000000000000a2")
+	require.Contains(t, takes(t, a, c, "00000000000000a3", "1011900", 10_119_000), "200 OK", "within 5,000 ms of 1006950")
+	require.Empty(t, takes(t, a, c, "00000000000000a4", "1011970", 10_119_700), "and after")
+}
+
+// A run may last longer than its window and all that is kept after it: a repeat that waits for it waits on.
+func TestARunBeyondItsWindow(t *testing.T) {
+	a, c := running(t)
+	a.routers.most = 100
+	for s := admission.Tenths(1); s <= 30; s++ {
+		c = knocking(a)
+		at := 10_000_000 + s*10_000
+		takes(t, a, c, fmt.Sprintf("%016x", 0xb0+s), fmt.Sprint(int64(at/10)), at)
+		for len(a.alarms) > 0 && a.alarms[0].at <= a.now {
+			a.now = max(a.now, a.alarms[0].at)
+			a.goOn()
+		}
+		a.items.settle()
+		require.Empty(t, c.out, "%d s", s)
+	}
+	require.Len(t, a.items.stamps, 1)
+	require.NoError(t, a.interpreter.traffic([]byte(`{"type":"VALUE","n":1,"job":"`+job+`","state":"OK","took":5,"data":"eA=="}`+"\n")))
+	a.items.settle()
+	require.Contains(t, string(c.out), "Status: 200 OK\r\n\r\nx")
+	a.server.Decide()
+	require.Empty(t, a.items.stamps, "it was kept for the run alone")
+}
+
+// The system's clock is set, an hour back or ahead: the app's own time goes on evenly, and what a router says by the new
+// clock is understood by it.
+func TestAClockThatIsSet(t *testing.T) {
+	c := newClock()
+	even, set := time.Duration(0), time.UnixMicro(int64(c.began)*100)
+	c.read = func() (time.Time, time.Duration) { return set.Add(even), even }
+	before := c.now()
+	for _, by := range []time.Duration{-time.Hour, 2 * time.Hour, -time.Millisecond * 500} {
+		even += time.Second
+		set = set.Add(by)
+		now := c.now()
+		require.Equal(t, before+second, now, "set by %v", by)
+		require.Equal(t, admission.Tenths(set.Add(even).UnixMicro()/100), now+c.shift)
+		before = now
+	}
+	a, _ := running(t)
+	r := knocking(a)
+	a.clock.shift = 3_600_000 // six minutes: routers' stamps are by so much ahead of the app's time by now
+	require.Empty(t, takes(t, a, r, "00000000000000c1", "1364000", 10_050_000), "a new one, in time")
+	require.NotNil(t, a.items.byID["00000000000000c1"])
+	require.Equal(t, admission.Tenths(10_040_000), a.items.byID["00000000000000c1"].reached)
+}
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -72,6 +72,7 @@
 	server   *admission.Server // nil until the interpreter is up
 	ledger   *ledger.Ledger    // nil where no queues are fair
 	chance   *rand.Rand
+	clock    clock
 	now      admission.Tenths
 	queued   bool               // a flush is on its way
 	dirty    []*wire            // what has output for the end of the batch
@@ -109,7 +110,7 @@
 // New makes an app server; Run starts it.
 func New(p Place, l logs.Log) *App {
 	a := &App{place: p, log: l, armed: never, stop: never, orders: make(chan func(), 8), unreadOn: map[*wire]struct{}{},
-		begun: make(chan struct{})}
+		begun: make(chan struct{}), clock: newClock()}
 	a.chance = rand.New(rand.NewSource(p.Seed))
 	a.pool.bound(p.Memory)
 	a.fair()
@@ -134,7 +135,7 @@
 		for _, c := range a.place.Terms.Categories {
 			of.Contracts = append(of.Contracts, c.Contract)
 		}
-		a.ledger = ledger.New(of, a.chance, clock())
+		a.ledger = ledger.New(of, a.chance, a.clock.now())
 	default:
 		a.ledger.Change(*t, a.now)
 	}
@@ -267,7 +268,7 @@
 
 // begin runs once, when the loop is known.
 func (a *App) begin(thread gnet.EventLoop) {
-	a.thread, a.now = thread, clock()
+	a.thread, a.now = thread, a.clock.now()
 	close(a.begun)
 	a.timer = time.AfterFunc(time.Hour, func() { a.do(a.ring) })
 	go func() {
@@ -309,11 +310,36 @@
 	}))
 }
 
-func clock() admission.Tenths { return admission.Tenths(time.Now().UnixMicro() / 100) }
+// clock is the app's own time. It begins as the system's Unix clock and goes on evenly where that is set: a clock set back
+// would hold every answer until it had caught up, one set forward would end every wait.
+type clock struct {
+	read  func() (set time.Time, even time.Duration) // the system's clock, and what has passed since the start
+	began admission.Tenths
+	shift admission.Tenths // that the system's clock is ahead of it by now
+}
+
+const setBy = admission.Tenths(10) // less between the two is how they were read
+
+func newClock() clock {
+	began := time.Now()
+	return clock{began: admission.Tenths(began.UnixMicro() / 100), read: func() (time.Time, time.Duration) {
+		t := time.Now()
+		return t, t.Sub(began)
+	}}
+}
+
+func (c *clock) now() admission.Tenths {
+	set, even := c.read()
+	now := c.began + admission.Tenths(even/(time.Millisecond/10))
+	if by := admission.Tenths(set.UnixMicro()/100) - now - c.shift; by > setBy || by < -setBy {
+		c.shift += by
+	}
+	return now
+}
 
 // event opens a batch, or goes on with the one that is open.
 func (a *App) event() {
-	a.now = max(a.now, clock())
+	a.now = max(a.now, a.clock.now())
 	if a.server != nil {
 		a.server.At(a.now)
 	}
@@ -328,7 +354,7 @@
 	if a.ending {
 		return gerrors.ErrEngineShutdown
 	}
-	a.now = max(a.now, clock())
+	a.now = max(a.now, a.clock.now())
 	if a.afterStandstill() {
 		a.queued = false
 		return nil
@@ -426,7 +452,7 @@
 		return
 	}
 	a.armed = a.alarms[0].at
-	a.timer.Reset(time.Duration(max(0, a.armed-clock())) * (time.Millisecond / 10))
+	a.timer.Reset(time.Duration(max(0, a.armed-a.clock.now())) * (time.Millisecond / 10))
 }
 
 // leave tells the module how long there is, and ends the program in time.
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -34,7 +34,7 @@
 		Categories []struct {
 			Effect, Name                        string
 			HardLimit, LateWorth, OnTime, Worth float64
-			Window                              float64
+			Window                              *float64
 		}
 		FamilyInfo struct {
 			CallShare, CallsOver, EntryKb, KeepaliveMax float64
@@ -93,7 +93,7 @@
 	for i, c := range env.Categories {
 		at := fmt.Sprintf("Categories[%d]", i)
 		for path, v := range map[string]float64{"HardLimit": c.HardLimit, "LateWorth": c.LateWorth, "OnTime": c.OnTime,
-			"Worth": c.Worth, "Window": c.Window} {
+			"Worth": c.Worth, "Window": window(c.Window)} {
 			figure(at+"."+path, v)
 		}
 		if word(at+".Effect", c.Effect, effectWords); c.Effect == "" {
@@ -109,7 +109,7 @@
 		if c.LateWorth > 1 {
 			l.Add(at+".LateWorth", "from 0 to 1", "%v is out of range", c.LateWorth)
 		}
-		if c.Effect == "by_key" && c.Window == 0 {
+		if c.Effect == "by_key" && c.Window == nil { // one of 0 can be meant: no repeat comes
 			l.Add(at+".Window", "how long a repeat may come", "by_key without a window")
 		}
 	}
@@ -142,7 +142,7 @@
 	for i, c := range env.Categories {
 		t.Named[c.Name] = i
 		t.Categories = append(t.Categories, admission.Category{Gain: c.Worth, LateShare: c.LateWorth,
-			Contract: Down(c.OnTime), Expiry: Down(c.HardLimit), Window: Up(c.Window),
+			Contract: Down(c.OnTime), Expiry: Down(c.HardLimit), Window: Up(window(c.Window)),
 			Effect: effects[c.Effect]})
 	}
 	for _, tenant := range env.Tenants {
@@ -156,6 +156,14 @@
 	return t, nil
 }
 
+// window is how long a repeat may come; only by_key has to say.
+func window(told *float64) float64 {
+	if told == nil {
+		return 0
+	}
+	return *told
+}
+
 // Tenant says whether there is a tenant of this name; where none are told, any may be.
 func (t *Terms) Tenant(name []byte) bool { return len(t.tenants) == 0 || t.tenants[string(name)] }
 
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -27,6 +27,13 @@
 	require.True(t, terms.Tenant([]byte("b")) && !terms.Tenant([]byte("c")))
 }
 
+// A window of 0 can be meant: no repeat comes. Absent, it is a fault.
+func TestAWindowOfZero(t *testing.T) {
+	terms, err := Read([]byte(strings.Replace(good, `"Window": 35000`, `"Window": 0`, 1)))
+	require.NoError(t, err)
+	require.Zero(t, terms.Categories[1].Window)
+}
+
 // What bears on a rule is known or it is a fault, told with its place.
 func TestFaultsWithTheirPlaces(t *testing.T) {
 	for _, c := range []struct{ from, to, at, fault string }{
@@ -39,7 +46,7 @@
 		{`"Name": "b"`, `"Name": "a"`, `"a"}]`, `Tenants[1].Name: "a" stands twice; expected each name once`},
 		{`"OnTime": 3200, "HardLimit": 7100, "LateWorth"`, `"OnTime": 7200, "HardLimit": 7100, "LateWorth"`,
 			`7200,`, `Categories[0].OnTime: 7200: the answer is wanted within more than its caller waits; expected at most HardLimit, 7100`},
-		{`"Window": 35000`, `"Window": 0`, `0}],`, `Categories[1].Window: by_key without a window; expected how long a repeat may come`},
+		{`, "Window": 35000`, ``, `{"Name": "book"`, `Categories[1].Window: by_key without a window; expected how long a repeat may come`},
 		{`"LateWorth": 0.2`, `"LateWorth": -1`, `-1,`, `Categories[0].LateWorth: -1 is out of range; expected from 0 to 1e12`},
 		{`"Cores": 6`, `"Cores": "six"`, `"six"`, `FamilyInfo.Cores: is a string; expected a value of type int`},
 		{`"Worth": 3,`, `"Worth": 3, "effect": "once",`, `"once"`, `Categories[1].effect: stands twice; expected each name once`},
