The stop's batch is decided before connections end; those that end may use the table's room

And at the stop all connections end at once, of which the bound of one descriptor in 32 closed most over unread bytes: the bound is now on open and ending ones together. TestMeasuredDrainOrders has 60 at rest and 20 that send without a pause.

--- a/cmd/thistlequay/races_test.go
+++ b/cmd/thistlequay/races_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"testing"
 	"time"
 
+	"thistlequay/internal/rehearsal/fleet"
 	"thistlequay/internal/standin"
 )
 
@@ -169,6 +171,23 @@
 	r.Equal(0, code)
 }
 
+// The machine stands still over the stop: what is in hand is answered before its connection ends.
+func TestAStandstillOverTheStop(t *testing.T) {
+	r, v := start(t)
+	c := r.router()
+	v.applied(c.look(1, "never ends"), "never ends")
+	r.NoError(r.process.Process.Signal(syscall.SIGTERM))
+	r.Eventually(func() bool { return strings.Contains(logOf(r), "event=leaving") }, patience, time.Millisecond)
+	r.NoError(r.process.Process.Signal(syscall.SIGSTOP))
+	stop := time.Now().Add(1500 * time.Millisecond)
+	r.Eventually(func() bool { return time.Now().After(stop) }, patience, time.Millisecond)
+	r.NoError(r.process.Process.Signal(syscall.SIGCONT))
+	c.answered(1, 500, "")
+	r.Empty(r.whole(c.link))
+	code, _ := r.exit()
+	r.Equal(0, code)
+}
+
 // Notices that come while the configuration is still being read are carried out once there is a server: SIGHUP ends
 // nothing, and after SIGTERM the end is 0 before the stop.
 func TestNoticesBeforeThereIsAServer(t *testing.T) {
@@ -323,7 +342,10 @@
 // A drain with bytes at every moment of it: requests on connections at rest and on new ones, half requests, half records.
 // Whatever was read has one answer, or ran never and ended cleanly; nothing that came after the grace is run.
 func TestMeasuredDrainOrders(t *testing.T) {
-	r, v := start(t)
+	r := prepare(t)
+	r.config = strings.Replace(r.config, `"sockets":64`, `"sockets":256`, 1)
+	r.run()
+	v := r.up(0)
 	const every, moments = 4 * time.Millisecond, 340 // 1.36 s of the 1.5 s to the stop; the last part is refused
 	var lock sync.Mutex
 	ran := map[string]int{}
@@ -346,14 +368,14 @@
 	}()
 	// All but the newcomers are there before, at rest or fresh, few enough for the table.
 	var resting []*link
-	for range 8 {
+	for range 60 {
 		c := r.router()
 		c.ask(1, "/health", "", nil)
 		c.answered(1, 200, "")
 		resting = append(resting, c.link)
 	}
 	var floods []*link
-	for range 6 {
+	for range 20 {
 		c := r.router()
 		c.ask(1, "/health", "", nil)
 		c.answered(1, 200, "")
@@ -407,7 +429,7 @@
 		}
 		kind := []string{"a request on a new one", "half a request on a new one", "a request at rest"}[i%3]
 		switch {
-		case i%3 == 2 && len(resting) > 0 && i%42 == 41:
+		case i%3 == 2 && len(resting) > 20 && i%6 == 5:
 			begin(kind, resting[0], true)
 			resting = resting[1:]
 		case i%3 < 2:
@@ -459,3 +481,141 @@
 		len(all), lost, double, late, reset, refused, ended.Milliseconds())
 	r.Zero(lost + double + late + reset)
 }
+
+// Clients that ask once or never and stay fill the descriptors while the directory is down: the program's own dials, health
+// checks and routers with work still have their place, and it reports at once when the directory is back.
+func TestMeasuredIdleConnections(t *testing.T) {
+	r := prepare(t)
+	r.config = strings.Replace(r.config, `"sockets":64`, `"sockets":128`, 1)
+	r.run()
+	v := r.up(0)
+	d := r.link(r.directory)
+	r.directory.Listener.Close()
+	d.Close()
+	idle, served := 0, 0
+	crowd := func(n int) {
+		for i := range n {
+			c, err := standin.Dial(r.listen)
+			if err != nil {
+				continue
+			}
+			t.Cleanup(func() { c.Close() })
+			switch idle++; i % 4 {
+			case 0: // says nothing
+			case 1:
+				_, _ = c.Write(standin.Request(1, "/health", "", nil))
+			case 2:
+				_, _ = c.Write(standin.Request(1, "/health", "", nil)[:30])
+			case 3:
+				_, _ = c.Write(standin.Request(1, "/health", "", nil))
+				c.Conn.(*net.TCPConn).SetLinger(0)
+				c.Close() // at once, by a reset
+			}
+		}
+	}
+	work := func(n int) {
+		for i := range n {
+			c := r.router()
+			c.ask(1, "/health", "", nil)
+			c.answered(1, 200, "")
+			id := c.look(2, "w")
+			v.applied(id, "w")
+			if i == 0 {
+				v.await(id, "call")
+				x := r.called(id)
+				r.say(x, "%s HIT 2\r\nok\r", id)
+				r.Equal("RESOLVE "+id, func() string { o := v.next(); return o.Type + " " + o.Job }())
+				x.Close()
+			}
+			v.value(id, "OK", "done")
+			c.answered(2, 200, "done")
+			served++
+			c.Close()
+		}
+	}
+	crowd(200)
+	work(5)
+	v.Close() // and the link to the interpreter is dialled anew
+	n := v.n
+	v = &vm{r: r, link: r.link(r.vm), n: n}
+	r.JSONEq(fmt.Sprintf(`{"type":"CONNECT","n":%d}`, n), r.line(v.link))
+	crowd(100)
+	r.say(v.link, `{"type":"BANNER","state":"WARM","took":3600000}`)
+	work(5)
+	crowd(100)
+	r.NoError(r.directory.Reopen())
+	from := time.Now()
+	d = r.link(r.directory)
+	r.Equal("PUT /dir/nodes/n3 HTTP/1.1", r.line(d))
+	back := time.Since(from)
+	work(5)
+	fmt.Printf("measured idle connections=%d lost=%d served=%d reregistered_ms=%d source=stand-ins\n", idle, 15-served, served, back.Milliseconds())
+	r.Equal(15, served)
+	r.Less(back, 600*time.Millisecond)
+	r.NotContains(logOf(r), "engine_error")
+}
+
+// Thirty processes are killed and begin again at once, under their addresses, on this machine's cores: the directory is
+// down, the index refuses, clients knock already. Each answers health checks soon.
+func TestMeasuredRestart(t *testing.T) {
+	const processes = 30
+	g := fleetOf(t, fleet.Plan{Servers: processes, Seed: 33})
+	g.Directory.Listener.Listener.Close()
+	g.Index.Listener.Listener.Close()
+	ready := func() (in []time.Duration) {
+		begun := make([]time.Time, processes)
+		for i, s := range g.Servers {
+			begun[i] = time.Now()
+			g.NoError(s.Start())
+		}
+		in = make([]time.Duration, processes)
+		var done sync.WaitGroup
+		for i, s := range g.Servers {
+			for knocker := range 3 {
+				done.Add(1)
+				go func() {
+					defer done.Done()
+					for time.Since(begun[i]) < 30*time.Second {
+						c, err := standin.Dial(s.Listen)
+						if err != nil {
+							time.Sleep(5 * time.Millisecond)
+							continue
+						}
+						c.SetDeadline(time.Now().Add(5 * time.Second))
+						if knocker > 0 { // and asks for work, or says nothing
+							_, _ = c.Write(standin.Request(1, "/rpc/look", "b", fields("0000000000000001"))[:knocker*60])
+						} else if _, err = c.Write(standin.Request(1, "/health", "", nil)); err == nil {
+							if a, err := c.Answer(); err == nil && a.Status == 200 {
+								in[i] = time.Since(begun[i])
+								t.Cleanup(func() { c.Close() }) // it stays: its port is in TIME_WAIT, or worse, after the kill
+								return
+							}
+						}
+						if c.Close(); knocker > 0 {
+							return
+						}
+					}
+				}()
+			}
+		}
+		done.Wait()
+		return in
+	}
+	for _, name := range []string{"first", "again"} {
+		in := ready()
+		slices.Sort(in)
+		within := 0
+		for _, took := range in {
+			if took > 0 && took <= 10*time.Second {
+				within++
+			}
+		}
+		fmt.Printf("measured restart processes=%d start=%s ready_10s=%d ready_all_s=%.2f median_s=%.2f source=stand-ins\n", processes, name, within,
+			in[processes-1].Seconds(), in[processes/2].Seconds())
+		g.GreaterOrEqual(within, processes*9/10)
+		g.Positive(in[0], "one was never ready")
+		for _, s := range g.Servers {
+			g.NoError(s.Kill())
+		}
+	}
+}
--- a/internal/appserver/life.go
+++ b/internal/appserver/life.go
@@ -138,7 +138,13 @@
 		p.closed()
 	}
 	g.goOn()
-	for l.all.Len() > l.most { // the others had their time, or share the bound with a flood
+	a.makeRoom(0)
+}
+
+// makeRoom closes the oldest of those that end where they and the open ones leave no room for so many more: what the
+// table does not use is theirs, as when all end at once, until newcomers want it.
+func (a *App) makeRoom(more int) {
+	for l, r := &a.lingering, &a.routers; l.all.Len() > 0 && l.all.Len()+r.open+more > l.most+r.most; {
 		l.all.Front().Value.(*parting).close()
 	}
 }
--- a/internal/appserver/loop.go
+++ b/internal/appserver/loop.go
@@ -474,15 +474,18 @@
 		a.enter(closing)
 		a.routers.closeResting()
 	}}, a.stop-late/2)
-	a.set(&alarm{ring: func() {
-		a.enter(stopped)
-		a.routers.closeAll()
-		a.index.closeAll()
-		a.interpreter.part()
-		a.directory.part()
-		half := (a.place.StopIn - left) / 2
-		a.keeping.end(half, func() { a.set(&alarm{ring: a.end}, a.now+half/2) })
-	}}, a.stop)
+	// The batch in which the stop comes is decided before anything ends: where the loop is late, that answers what is due.
+	a.set(&alarm{ring: func() { a.set(&alarm{ring: func() { a.endAll((a.place.StopIn - left) / 2) }}, a.now+1) }}, a.stop)
+}
+
+// endAll ends every connection, and the process after the time given.
+func (a *App) endAll(in admission.Tenths) {
+	a.enter(stopped)
+	a.routers.closeAll()
+	a.index.closeAll()
+	a.interpreter.part()
+	a.directory.part()
+	a.keeping.end(in, func() { a.set(&alarm{ring: a.end}, a.now+in/2) })
 }
 
 // move takes up the addresses of a new configuration. What a running server can't change is said, and stays.
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -82,6 +82,7 @@
 		}
 		c.shut()
 	}
+	r.app.makeRoom(1)
 	return &router{wire: wire{app: r.app, most: mostUnread}}
 }
 
