Turns at what is shared below only while it may be cold, and by the number of servers

Lines at fault: myTurn, for a share that fits every size of fleet, and at all times.

Change: the turns' part of the time is worked out for the servers told of and twice as many, once for each allowance; turns hold only until four calls went well (one that did not counts for four) and are quick, four of them in a turn: what answers so is not cold, and the mean over the settings' span holds as before. A call with effects begins only where its turn leaves it twice the time that a harmless one needs.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -212,6 +212,9 @@
 	if s.calls.over(s.now, how == Unknown); how != Unknown || float64(took) > s.calls.lately {
 		s.calls.took(took) // else it would have taken longer: by how much nobody knows
 	}
+	if s.calls.warm = max(0, s.calls.warm-few/2); how == Well {
+		s.calls.warm = min(few, s.calls.warm+few/2+1)
+	}
 	w.state = standing
 	switch {
 	case how == Well:
@@ -442,10 +445,10 @@
 		case s.now+Tenths(s.calls.lately*math.Ln2) > w.worthUntil() && s.calls.in > 0:
 			// The check of the budget at a call. One call is always let through, to learn of a recovery.
 			s.breakOff(w)
-		case w.notYet > s.now || s.calls.room(s.now) <= s.now:
+		case w.notYet > s.now || s.calls.room(s.now, w.category.effect != Harmless) <= s.now:
 			wait = append(wait, w)
 		default:
-			c, until := &s.calls, min(w.worthUntil(), s.calls.room(s.now))
+			c, until := &s.calls, min(w.worthUntil(), s.calls.room(s.now, w.category.effect != Harmless))
 			w.state, c.in = calling, c.in+1
 			if w.category.effect == Harmless && c.quick.n >= few { // its reply may be lost: it is called again
 				until = min(until, s.now+Tenths(lostCall*max(c.lately, float64(c.quick.at(0.9)))))
@@ -615,6 +618,8 @@
 	quick               spread   // times of calls while they were not slow
 	servers             float64  // of the fleet
 	spread, turn        float64  // when its turns come, as part of all; the length of all while calls are quick
+	part, partOf        float64  // of the time are its turns, worked out for so many allowed and servers
+	warm                int      // calls that went well of late, less for those that did not
 }
 
 func (c *calls) slow() bool { return c.lately > slowCalls*float64(c.quick.at(0.25)) }
@@ -640,7 +645,7 @@
 // room keeps the mean of calls in hand, those given up included while they linger, within the share: what
 // the share allows piles up, what is in hand uses it. A share of less than one lets some through this way.
 // It gives until when another may be in hand; now and earlier is not at all.
-func (c *calls) room(now Tenths) Tenths {
+func (c *calls) room(now Tenths, effects bool) Tenths {
 	for len(c.lingering) > 0 && c.lingering[0] <= now {
 		c.lingering = c.lingering[1:]
 	}
@@ -652,36 +657,46 @@
 	case c.left <= 0 || in >= math.Ceil(c.allowed):
 		return now
 	}
-	return c.myTurn(now)
+	return c.myTurn(now, effects)
 }
 
-// myTurn gives until when the call that a part of less than one allows may be in hand. Where few come of it
-// if all servers have one, always; else in turns, which the seed spreads, so that few come of it at any
-// moment, however many servers there are. Guards what lies below, cold or back again, against parts that all
-// round up at once; harms where calls take longer than a turn: they are given up, and turns are made longer.
-func (c *calls) myTurn(now Tenths) Tenths {
-	share, all := c.most/callsPart, c.servers*growth
-	if math.Ceil(c.allowed)*all <= share*all+2*math.Sqrt(share*all)+2 {
-		return forever
+// myTurn gives until when the call by which a part is rounded up may be in hand. Where few come of it if all
+// servers do so, or while calls go well and take little of the time, always; else in turns, which the seed
+// spreads, so that few come of it at any moment, however many servers there are. Guards what lies below, cold
+// or back again, against parts that all round up at once; harms where calls take longer than a turn: they are
+// given up, and turns are made longer.
+func (c *calls) myTurn(now Tenths, effects bool) Tenths {
+	if c.partOf != c.allowed*c.servers {
+		for c.part = 1; c.part > alike && (c.tooMany(c.servers) || c.tooMany(c.servers*growth)); {
+			c.part -= alike / 2
+		}
+		c.partOf = c.allowed * c.servers
 	}
-	whole, part := math.Modf(c.allowed)
-	for over := chance*math.Sqrt(part) - 2*math.Sqrt(share); over > 0 && over*over > 4*(share-whole-part); {
-		part *= 1 - alike
-		over = chance*math.Sqrt(part) - 2*math.Sqrt(share)
+	turn, need := max(c.turn*c.part, 2*float64(c.linger)), slowCalls*c.lately
+	if c.part == 1 || c.warm >= few/2 && need <= c.turn*c.part {
+		return forever
 	}
-	turn := max(c.turn*part, 2*float64(c.linger))
-	for turn < slowCalls*c.lately {
+	for turn < need {
 		turn *= 2
 	}
-	at := math.Mod(float64(now)/turn*part+c.spread, 1) / part // in turns: the first is this server's
-	if at >= 0.5 {
-		return now
+	if !effects { // one given up is made again
+		need /= 2
+	}
+	at := math.Mod(float64(now)/turn*c.part+c.spread, 1) / c.part // in turns: the first is this server's
+	if left := (1-at)*turn - float64(c.linger); left > need {
+		return now + Tenths(left)
 	}
-	return now + Tenths((1-at)*turn) - c.linger
+	return now
+}
+
+// tooMany says whether so many servers may hold too many, where each rounds up for this part of the time.
+func (c *calls) tooMany(servers float64) bool {
+	n, whole := c.most/callsPart*servers, math.Floor(c.allowed)
+	return servers*(whole+c.part)+chance*math.Sqrt(servers*c.part*(1-c.part)) > n+2*math.Sqrt(n)+1
 }
 
 func (c *calls) over(now Tenths, givenUp bool) {
-	c.room(now) // up to now it was in hand
+	c.room(now, false) // up to now it was in hand
 	c.in--
 	if givenUp {
 		c.lingering = append(c.lingering, now+c.linger)
