A request that comes in the batch of its connection's end is never run

Seen on reading life.go again: between after = true and the push that ends the connection more may be read in the same batch, a request behind one without KEEP_CONN in one piece or on a connection that the closing phase ends. It was taken, run, and its connection closed under it. Now such bytes cross the end: they are passed over and never run.

--- a/cmd/thistlequay/races_test.go
+++ b/cmd/thistlequay/races_test.go
@@ -134,6 +134,19 @@
 	r.Empty(r.whole(c.link))
 }
 
+// A request behind one that wants its connection closed, in the same piece, crosses the end: it is not run.
+func TestARequestBehindTheEnd(t *testing.T) {
+	r, v := start(t)
+	c := r.router()
+	last := standin.Request(1, "/health", "", nil)
+	last[10] = 0
+	_, err := c.Write(append(last, standin.Request(2, "/rpc/look", "crosses", fields(r.id()))...))
+	r.NoError(err)
+	c.answered(1, 200, "")
+	r.Empty(r.whole(c.link))
+	v.serves(r.router(), 1, "the first to run")
+}
+
 // What a bad record follows in the same piece is answered, and the connection ends without a reset.
 func TestAnAnswerBeforeABadRecord(t *testing.T) {
 	r, _ := start(t)
--- a/internal/appserver/routers.go
+++ b/internal/appserver/routers.go
@@ -110,6 +110,9 @@
 }
 
 func (c *router) traffic(data []byte) error {
+	if c.after { // it crosses the end, which comes with this batch
+		return nil
+	}
 	if c.life == resting {
 		c.become(busy)
 	}
@@ -178,6 +181,9 @@
 func (c *router) Room() bool { return c.app.pool.out < c.app.pool.most }
 
 func (c *router) Whole(s *fastcgi.Stream) {
+	if c.after { // behind the one that wanted the connection closed: never run
+		return
+	}
 	if c.stuck = false; c.life == fresh {
 		c.become(busy)
 		c.app.unset(&c.limit)
