--- a/internal/appserver/life.go
+++ b/internal/appserver/life.go
@@ -92,8 +92,10 @@
 
 // closeAll is the last: nothing is owed any more. Half a request that lies here never ran.
 func (r *routers) closeAll() {
-	for e := r.all.Front(); e != nil; e = r.all.Front() {
-		e.Value.(*router).shut()
+	for e := r.all.Front(); e != nil; {
+		c := e.Value.(*router)
+		e = e.Next()
+		c.shut()
 	}
 }
 
@@ -102,7 +104,7 @@
 	flushAgain  = second / 200
 	lingerFor   = second / 2 // ten times what the protocol lets a request cross a close
 	lingerBytes = 256 << 10  // whoever sends more after the end is not crossing it
-	lingerPart  = 32         // one descriptor in so many may be a connection that ends
+	lingerPart  = 32         // one descriptor in so many is for connections that end, whatever the table holds
 )
 
 // lingering are the connections that end.
