A silent directory is not pressed; who looks at the peers' view in vain has back what it would write

And a data race: Peers.Look gave up after a second, and the worker still carried the look out and wrote what its caller (Report, the sharing worker) read (status.go:62 and 108, found by the race detector under load). Look now gives an error only where the worker has not begun, and then it never will. TestALookInVain fails without it.

--- a/internal/appserver/directory.go
+++ b/internal/appserver/directory.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"thistlequay/admission"
 )
 
 const (
 	lapse       = 3 * second // an entry is taken off after this
-	reportEvery = lapse / 5
+	reportEvery = lapse / 4
 	answerIn    = lapse / 10 // a report that is not answered by then is made again, on a new link
 	registerIn  = lapse / 15 // where there is no link, the next is dialled after this at most
 	mostAnswer  = 8 << 10
@@ -28,6 +30,7 @@
 	next    alarm
 	backOff backOff
 	missed  int // reports that were not answered
+	silent  int // of them in a row
 }
 
 func (d *directory) start(a *App) {
@@ -43,6 +46,7 @@
 	}
 	if d.owed {
 		d.missed++
+		d.silent++
 		d.shut()
 	}
 	if d.conn == nil {
@@ -59,7 +63,7 @@
 	d.out = fmt.Appendf(d.buffer(), "PUT /dir/nodes/%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s",
 		d.app.place.Name, d.app.place.Directory, len(body), body)
 	d.owed = true
-	d.app.set(&d.next, d.app.now+answerIn)
+	d.app.set(&d.next, d.app.now+min(answerIn*admission.Tenths(1+d.silent), reportEvery)) // one that stays silent is not pressed
 }
 
 // failed: it is not there. The next dials of many servers do not come at one moment.
@@ -124,7 +128,7 @@
 			return nil
 		}
 		if d.owed {
-			d.owed, d.backOff = false, backOff{}
+			d.owed, d.silent, d.backOff = false, 0, backOff{}
 			d.app.set(&d.next, d.app.now+reportEvery)
 		}
 		d.carry = append(d.carry[:0], rest[size:]...)
--- a/internal/peers/hostile_test.go
+++ b/internal/peers/hostile_test.go
@@ -185,3 +185,20 @@
 }
 
 var net4 = net.UDPAddr{IP: net.IPv4(10, 0, 0, 9), Port: 7946}
+
+// Who has waited in vain for the worker has back what it would have written.
+func TestALookInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := crowd(t, &air{rand: rand.New(rand.NewSource(1)), ports: map[string]*port{}}, 1)[0]
+		p.do(func() { time.Sleep(3 * time.Second) })
+		synctest.Wait()
+		looked := 0
+		look := func(*members.View, *members.Accord) { looked++ }
+		require.Error(t, p.Look(look))
+		time.Sleep(5 * time.Second)
+		require.Zero(t, looked)
+		require.NoError(t, p.Look(look))
+		require.Equal(t, 1, looked)
+		p.End()
+	})
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -271,17 +271,27 @@
 	return p.list.SendReliable(&memberlist.Node{Name: nodeName(to), Addr: net.ParseIP(host), Port: uint16(port)}, message)
 }
 
-// Look has something read the view. It waits for the worker, at most for a second.
+// Look has something read the view. It waits for the worker, at most for a second; after an error the worker has not
+// looked and will not: what the caller has it write is the caller's again.
 func (p *Peers) Look(at func(*members.View, *members.Accord)) error {
-	looked := make(chan struct{})
-	p.do(func() { at(p.view, p.accord); close(looked) })
+	looked, taken := make(chan struct{}), atomic.Bool{} // by the worker, or by the end of the wait
+	p.do(func() {
+		if taken.CompareAndSwap(false, true) {
+			at(p.view, p.accord)
+			close(looked)
+		}
+	})
 	select {
 	case <-looked:
 		return nil
 	case <-p.done:
 	case <-time.After(time.Second):
 	}
-	return errors.New("the talk among peers does not answer")
+	if taken.CompareAndSwap(false, true) {
+		return errors.New("the talk among peers does not answer")
+	}
+	<-looked // it is at it
+	return nil
 }
 
 // Keys has it speak under the first of the keys and understand all of them.
