Room at the index is worked out once a call; how soon turns end is told as it is

Read again: makeCalls asked calls.room twice for each call on the hot path, once to test and once for its end; it asks once now, for the same answer. CallEnded's warm was told as four good calls ending turns; from 0 one makes it five, so one does.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -445,10 +445,16 @@
 		case s.now+Tenths(s.calls.lately*math.Ln2) > w.worthUntil() && s.calls.in > 0:
 			// The check of the budget at a call. One call is always let through, to learn of a recovery.
 			s.breakOff(w)
-		case w.notYet > s.now || s.calls.room(s.now, w.category.effect != Harmless) <= s.now:
+		case w.notYet > s.now:
 			wait = append(wait, w)
 		default:
-			c, until := &s.calls, min(w.worthUntil(), s.calls.room(s.now, w.category.effect != Harmless))
+			c := &s.calls
+			room := c.room(s.now, w.category.effect != Harmless)
+			if room <= s.now {
+				wait = append(wait, w)
+				continue
+			}
+			until := min(w.worthUntil(), room)
 			w.state, c.in = calling, c.in+1
 			if w.category.effect == Harmless && c.quick.n >= few { // its reply may be lost: it is called again
 				until = min(until, s.now+Tenths(lostCall*max(c.lately, float64(c.quick.at(0.9)))))
@@ -619,7 +625,7 @@
 	servers             float64  // of the fleet
 	spread, turn        float64  // when its turns come, as part of all; the length of all while calls are quick
 	part, partOf        float64  // of the time are its turns, worked out for so many allowed and servers
-	warm                int      // calls that went well of late, less for those that did not
+	warm                int      // few/2 and more after one call that went well; four in a row outlast one that did not
 }
 
 func (c *calls) slow() bool { return c.lately > slowCalls*float64(c.quick.at(0.25)) }
