The directory's link is left and dialled again in one place each; tests start in one way

Now leave, soon and startWith; nothing else changes, startWith also checks that what it replaces is there.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -625,7 +625,7 @@
 	servers             float64  // of the fleet
 	spread, turn        float64  // when its turns come, as part of all; the length of all while calls are quick
 	part, partOf        float64  // of the time are its turns, worked out for so many allowed and servers
-	warm                int      // few/2 and more after one call that went well; four in a row outlast one that did not
+	warm                int      // few/2 or more after a call that went well; four in a row outlast a bad one
 }
 
 func (c *calls) slow() bool { return c.lately > slowCalls*float64(c.quick.at(0.25)) }
--- a/cmd/thistlequay/races_test.go
+++ b/cmd/thistlequay/races_test.go
@@ -266,10 +266,7 @@
 // A repeat whose router's clock is ahead was written within the window all the same: it shares what ran. A window of 0 is
 // a window, after which a request runs anew.
 func TestRepeatsByClocksThatAreAhead(t *testing.T) {
-	r := prepare(t)
-	r.config = strings.Replace(r.config, `"Window":30000.0`, `"Window":300.0`, 1)
-	r.run()
-	v := r.up(0)
+	r, v := startWith(t, `"Window":30000.0`, `"Window":300.0`)
 	c := r.router()
 	book := func(slot uint16, key string, ahead int64) string {
 		with := fields(r.id())
@@ -296,10 +293,7 @@
 }
 
 func TestAWindowOfZeroServes(t *testing.T) {
-	r := prepare(t)
-	r.config = strings.Replace(r.config, `"Window":30000.0`, `"Window":0.0`, 1)
-	r.run()
-	v := r.up(0)
+	r, v := startWith(t, `"Window":30000.0`, `"Window":0.0`)
 	c := r.router()
 	id := c.book(1, "k")
 	v.applied(id, "entry k")
@@ -358,10 +352,7 @@
 // A drain with bytes at every moment of it: requests on connections at rest and on new ones, half requests, half records.
 // Whatever was read has one answer, or ran never and ended cleanly; nothing that came after the grace is run.
 func TestMeasuredDrainOrders(t *testing.T) {
-	r := prepare(t)
-	r.config = strings.Replace(r.config, `"sockets":64`, `"sockets":256`, 1)
-	r.run()
-	v := r.up(0)
+	r, v := startWith(t, `"sockets":64`, `"sockets":256`)
 	const every, moments = 4 * time.Millisecond, 340 // 1.36 s of the 1.5 s to the stop; the last part is refused
 	var lock sync.Mutex
 	ran := map[string]int{}
@@ -504,10 +495,7 @@
 // Clients that ask once or never and stay fill the descriptors while the directory is down: the program's own dials, health
 // checks and routers with work still have their place, and it reports at once when the directory is back.
 func TestMeasuredIdleConnections(t *testing.T) {
-	r := prepare(t)
-	r.config = strings.Replace(r.config, `"sockets":64`, `"sockets":128`, 1)
-	r.run()
-	v := r.up(0)
+	r, v := startWith(t, `"sockets":64`, `"sockets":128`)
 	d := r.link(r.directory)
 	r.directory.Listener.Close()
 	d.Close()
--- a/cmd/thistlequay/socket_test.go
+++ b/cmd/thistlequay/socket_test.go
@@ -495,10 +495,7 @@
 }
 
 func TestIdleConnectionsCloseNeverUnderAnOpenRequest(t *testing.T) {
-	r := prepare(t)
-	r.config = strings.Replace(r.config, `"KeepaliveMax":30000.0`, `"KeepaliveMax":100.0`, 1)
-	r.run()
-	v := r.up(0)
+	r, v := startWith(t, `"KeepaliveMax":30000.0`, `"KeepaliveMax":100.0`)
 	busy, idle := r.router(), r.router()
 	id := busy.look(1, "busy")
 	v.applied(id, "busy")
--- a/cmd/thistlequay/standins_test.go
+++ b/cmd/thistlequay/standins_test.go
@@ -192,6 +192,15 @@
 	return r, v
 }
 
+// startWith is start with something else in the configuration.
+func startWith(t *testing.T, from, to string) (*rig, *vm) {
+	r := prepare(t)
+	r.Contains(r.config, from)
+	r.config = strings.Replace(r.config, from, to, 1)
+	r.run()
+	return r, r.up(0)
+}
+
 // vm is the interpreter's end of its link.
 type vm struct {
 	r *rig
--- a/internal/appserver/directory.go
+++ b/internal/appserver/directory.go
@@ -66,9 +66,14 @@
 	d.app.set(&d.next, d.app.now+min(answerIn*admission.Tenths(1+d.silent), reportEvery)) // one that stays silent is not pressed
 }
 
-// failed: it is not there. The next dials of many servers do not come at one moment.
+// failed: it is not there.
 func (d *directory) failed() {
 	d.link = nil
+	d.soon()
+}
+
+// soon has the next dial come; those of many servers do not come at one moment.
+func (d *directory) soon() {
 	d.app.set(&d.next, d.app.now+d.app.spread(min(d.backOff.next(), registerIn)))
 }
 
@@ -80,20 +85,24 @@
 // closed: the link is lost, and another is dialled soon.
 func (d *directory) closed() {
 	d.conn, d.link, d.owed = nil, nil, false
-	d.app.set(&d.next, d.app.now+d.app.spread(min(d.backOff.next(), registerIn)))
+	d.soon()
 }
 
-// part ends the link, and the reports with it.
-func (d *directory) part() {
+// leave ends the link, or the dial that is under way.
+func (d *directory) leave() {
 	d.link.drop()
 	d.conn, d.link, d.owed = nil, nil, false
+}
+
+// part ends the link, and the reports with it.
+func (d *directory) part() {
+	d.leave()
 	d.app.unset(&d.next)
 }
 
 // move: the directory is at another address now, and hears from there at once.
 func (d *directory) move() {
-	d.link.drop()
-	d.conn, d.link, d.owed = nil, nil, false
+	d.leave()
 	d.report()
 }
 
