--- a/cmd/thistlequay/races_test.go
+++ b/cmd/thistlequay/races_test.go
@@ -339,6 +339,75 @@
 	r.NotContains(logOf(r), "engine_error")
 }
 
+// A process that is killed leaves its port in TIME_WAIT, as it had ended a connection itself; its next life listens at once,
+// answers health checks while the interpreter is late, and serves once that is up.
+func TestAPortInTimeWaitAndALateInterpreter(t *testing.T) {
+	r, v := start(t)
+	c := r.router()
+	last := standin.Request(1, "/health", "", nil)
+	last[10] = 0 // and the program ends the connection
+	_, err := c.Write(last)
+	r.NoError(err)
+	c.answered(1, 200, "")
+	r.Empty(r.whole(c.link))
+	c.Close()
+	_, port, _ := net.SplitHostPort(r.listen)
+	number, err := strconv.Atoi(port)
+	r.NoError(err)
+	waits := func() bool {
+		text, err := os.ReadFile("/proc/net/tcp")
+		r.NoError(err)
+		for _, line := range strings.Split(string(text), "\n") {
+			if f := strings.Fields(line); len(f) > 3 && strings.HasSuffix(f[1], fmt.Sprintf(":%04X", number)) && f[3] == "06" {
+				return true
+			}
+		}
+		return false
+	}
+	r.Eventually(waits, patience, time.Millisecond)
+	r.NoError(r.process.Process.Kill())
+	<-r.ended
+	v.Close()
+	r.True(waits(), "the port is in TIME_WAIT")
+	r.start()
+	c = r.router()
+	c.ask(1, "/health", "", nil)
+	c.answered(1, 200, "")
+	c.look(2, "too early")
+	c.answered(2, 503, "")
+	v = r.up(0)
+	v.serves(c, 3, "once it is up")
+}
+
+// The link to the interpreter is lost under a run, and its window ends meanwhile: a repeat that reached the machine in the
+// window and one that comes after it both wait for that run. One run, one result.
+func TestRepeatsAcrossALostLinkAndAShortWindow(t *testing.T) {
+	r, v := startWith(t, `"Window":30000.0`, `"Window":300.0`)
+	c := r.router()
+	id := c.book(1, "k")
+	v.applied(id, "entry k")
+	ran := time.Now()
+	r.Eventually(func() bool { return time.Since(ran) > 120*time.Millisecond }, patience, time.Millisecond) // no APPLY can be lost by now
+	v.Close()
+	v = &vm{r: r, link: r.link(r.vm)}
+	r.Equal(`{"type":"CONNECT","n":0}`, r.line(v.link))
+	c.book(2, "k")
+	r.Eventually(func() bool { return time.Since(ran) > 400*time.Millisecond }, patience, time.Millisecond)
+	c.book(3, "k")
+	c.ask(4, "/health", "", nil)
+	c.answered(4, 200, "") // both have been read while the link says nothing
+	r.say(v.link, `{"type":"BANNER","state":"WARM","took":3600000}`)
+	v.value(id, "OK", "once")
+	got := map[uint16]string{}
+	for range 3 {
+		slot, status, _, body := c.answer()
+		got[slot] = fmt.Sprint(status, " ", body)
+	}
+	r.Equal(map[uint16]string{1: "200 once", 2: "200 once", 3: "200 once"}, got)
+	look := c.look(5, "goes on")
+	v.applied(look, "goes on") // and no run in between
+}
+
 // drained is what became of one connection of the drain.
 type drained struct {
 	kind     string
