Runs whose calls are out count to the crowd: servers fell over as calls came back at once

Ruled out: reading, cold speed (warm), the disk (it has counted before). At fault: admission.go, fill's guard counted pool.in - atCalls, and CallEnded lets a run back onto the cores without any guard. Now runs, calls out and starts together stay within nine tenths of the crowd, and a call waits where that is reached: what is on the cores at any moment is a part of that sum, so its mean cannot pass the limit either, however long calls take. No deadlock: standing runs do not count.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -400,7 +400,7 @@
 		}
 		best := s.best()
 		more := best.kb * (s.runFactor - 1)
-		if float64(s.pool.in-s.pool.atCalls) >= s.crowd()-1 || s.memory+more > s.memoryMost*workPart {
+		if s.crowdFull() || s.memory+more > s.memoryMost*workPart {
 			return
 		}
 		s.hold.leave(best)
@@ -414,10 +414,12 @@
 	}
 }
 
-// crowd is how many may be on the cores, less while cold. Those on the disk can all come back, so they count.
-func (s *Server) crowd() float64 {
+// crowdFull says that no more may come onto the cores; fewer may while cold. Those on the disk and those whose
+// calls are out can all come back at once, so they count.
+func (s *Server) crowdFull() bool {
 	speed := 1 - (1-s.coldFrom)*float64(max(0, s.warmAt-s.now))/float64(max(1, s.coldFor))
-	return s.pool.cores * (1 + (s.crowdMost-1)*speed) * crowdPart
+	most := s.pool.cores * (1 + (s.crowdMost-1)*speed) * crowdPart
+	return float64(s.pool.in-s.pool.atCalls+s.calls.in) >= most-1
 }
 
 // lastMoments answers what can't wait any longer.
@@ -445,7 +447,7 @@
 		case s.now+Tenths(s.calls.lately*math.Ln2) > w.worthUntil() && s.calls.in > 0:
 			// The check of the budget at a call. One call is always let through, to learn of a recovery.
 			s.breakOff(w)
-		case w.notYet > s.now:
+		case w.notYet > s.now || s.crowdFull():
 			wait = append(wait, w)
 		default:
 			c := &s.calls
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -114,6 +114,7 @@
 			"callers":  func(v float64) { d.Callers = int(v) },
 			"idle":     func(v float64) { d.IdleMost = Tenths(v * 10) },
 			"tongue":   func(v float64) { d.Tongue = Tongue(v) },
+			"crowd":    func(v float64) { d.Crowd = v },
 		})
 	case "category":
 		f := s.fields(word[2:], where)
