Shared reads, answers without a call, marked tries; the sizing of calls is taken out

Followed through the tap: callers of one habit wait 5.0 s, of another 4.28 s; callers seldom seen are judged by what most do, so first tries of the second habit passed for later ones (callers.later). Assumption that fits the earlier deployments only: all callers wait alike. Answers without a call (ClassSkipWorth): a call that is too late, or failed where it must not be made again, is left out where that earns something, and where only such an answer is in time. On sockets reads are not shared and no call is left out: the protocol has no word for it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -28,7 +28,6 @@
 	lostCall   = 8        // and one is lost that takes so many times what nearly all of late take
 	growth     = 2        // times the servers told of at the start that a fleet may come to have
 	chance     = 5        // deviations that calls in hand of many servers, each in turns of its own, stay within
-	callStep   = 0.75     // and then the calls in hand change by this
 	invited    = 0.25     // part of the waiting that budgets allow which callers are invited to fill
 	fairChance = 0.9      // quantile of recent runs that must still fit for a held work item to be kept
 	unreadPart = 1.0 / 6  // part of the shortest contract time that may pass unread before runs make way
@@ -36,10 +35,9 @@
 	wishPart   = 2        // servers' part of a fleet: from that share on, later tries or declines speak for all
 	linked     = 8        // callers for each core whose idle connections are worth keeping
 	smoothing  = 1.0 / 8  // weight of the newest in a running mean
-	few        = 8        // counts that say nothing yet
-	enough     = 256      // counts at which what is counted is halved
 	forever    = 1 << 60  // later than all times
 
+	few, enough      = 8, 256 // counts that say nothing yet, and at which what is counted is halved
 	bins, binsAScale = 24, 16 // bins of a histogram, and how many of them make up its scale
 )
 
@@ -47,12 +45,11 @@
 
 // category is what decisions need of one kind of work item.
 type category struct {
-	gain, lateShare          float64
+	gain, lateShare, poorer  float64 // poorer: share of the gain left without the calls
 	contract, expiry, window Tenths
 	effect                   Effect
 	place                    int
-	runs                     spread // times of all runs, those broken off as long as they had run
-	quiet                    spread // times of runs that the cores were not crowded during
+	runs, quiet              spread // times of all runs, broken off ones too; of those that met no crowd
 }
 
 type state int
@@ -72,17 +69,15 @@
 	s                     *Server
 	category              *category
 	state                 state
-	arrived               Tenths // on the machine, not when read
-	contract              Tenths // the end of its contract time
-	due                   Tenths // it must have its answer by then
-	moment                Tenths // when to look at it next
-	place                 int    // in the heap of moments, -1 outside
-	began, notYet         Tenths // its run; a call is not made again before this
-	kb                    float64
-	turn                  float64 // it waits while others wait whose turn has come
+	arrived               Tenths  // on the machine, not when read
+	contract, due         Tenths  // the end of its contract time; it must have its answer by then
+	moment                Tenths  // when to look at it next
+	place                 int     // in the heap of moments, -1 outside
+	began, notYet         Tenths  // its run; a call is not made again before this
+	kb, turn              float64 // it waits while others wait whose turn has come
 	behind                Tenths  // how long that will take, as was told when it came
 	order                 uint64  // in which they were taken
-	within                bool    // its turn has come
+	within, reads, wanted bool    // its turn has come; others may share its result for a while; others do
 	stamped               Tenths  // until when it owns an entry in the table of stamps, 0 where it does not
 	quiet, answered, gone bool    // the cores were quiet when its run began; it has its answer; its caller left
 }
@@ -99,23 +94,23 @@
 
 	hold    hold        // those not yet in moments have not passed the test on joining
 	stood   []*WorkItem // at a call that is not made yet
+	asked   []*WorkItem // that others wait for: those still held are next
 	moments moments
 
-	memory, memoryMost, entryKb, runFactor float64
-	crowdMost, coldFrom                    float64
-	entries, entriesMost                   int // in the table of stamps
-	warmAt, coldFor                        Tenths
-	stops, leaving                         bool
-	margin                                 Tenths // that answers are given ahead of their time
-	graceEnd, stop                         Tenths // the grace itself before the notice
-	look, wakes                            Tenths
+	memory, memoryMost, entryKb, runFactor, crowdMost, coldFrom float64
+
+	entries, entriesMost, sharing int // in the table of stamps; that wait for a result or take it
+	stops, leaving                bool
+	warmAt, coldFor, look, wakes  Tenths
+	margin, graceEnd, stop, fresh Tenths // that answers are early; the grace before the notice; of reads
 }
 
 // New makes the Server of one app server that starts now.
 func New(d Deployment, host Host, now Tenths) *Server {
 	s := &Server{host: host, now: now, memoryMost: d.Memory, entryKb: d.EntryKb, runFactor: d.RunFactor,
-		crowdMost: d.Crowd, coldFrom: 1, stops: d.Stops, margin: 2*d.Period + 1, servers: max(1, d.Servers),
-		stop: forever, graceEnd: d.Grace - 2*d.Period, wakes: forever, entriesMost: cmp.Or(d.Entries, forever)}
+		crowdMost: d.Crowd, coldFrom: 1, stops: d.Stops, fresh: d.Fresh, margin: 2*d.Period + 1, stop: forever,
+		servers: max(1, d.Servers), graceEnd: d.Grace - 2*d.Period, wakes: forever,
+		entriesMost: cmp.Or(d.Entries, forever)}
 	if d.Cold {
 		s.coldFrom, s.coldFor, s.warmAt = d.ColdFrom, d.ColdFor, now+d.ColdFor
 	}
@@ -123,19 +118,18 @@
 	s.hold = newHold(len(d.Categories))
 	for i, c := range d.Categories {
 		shortest, longest = min(shortest, c.Contract), max(longest, c.Expiry)
-		s.categories = append(s.categories, &category{gain: c.Gain, lateShare: c.LateShare, contract: c.Contract,
-			expiry: c.Expiry, window: c.Window, effect: c.Effect, place: i,
+		s.categories = append(s.categories, &category{gain: c.Gain, lateShare: c.LateShare, poorer: c.Poorer,
+			contract: c.Contract, expiry: c.Expiry, window: c.Window, effect: c.Effect, place: i,
 			runs: spreadOver(c.Contract), quiet: spreadOver(c.Contract)})
 	}
 	s.look = max(1, Tenths(float64(shortest)*lookPart))
 	cores, many := float64(d.Cores), float64(max(1, d.Callers))
 	s.pool = pool{size: cores, cores: cores, step: max(1, aggression*many), trip: firstTrip,
 		contract: float64(shortest)}
-	most := d.CallShare * callsPart
-	s.calls = calls{shared: d.SharedBelow, most: most, allowed: most, step: 1 / callStep, at: now,
-		span: float64(d.CallsOver), linger: d.Linger, quick: spreadOver(longest / binsAScale),
-		servers: float64(s.servers), spread: d.Spread, turn: max(1, float64(shortest)/2)}
-	s.callers = callers{tongue: d.Tongue, said: -1, maxAway: d.MaxAway, pace: 1,
+	s.calls = calls{shared: d.SharedBelow, most: d.CallShare * callsPart, at: now, span: float64(d.CallsOver),
+		linger: d.Linger, quick: spreadOver(longest / binsAScale), servers: float64(s.servers), spread: d.Spread,
+		turn: max(1, float64(shortest)/2)}
+	s.callers = callers{tongue: d.Tongue, marked: d.Marked, said: -1, maxAway: d.MaxAway, pace: 1,
 		wishFrom: wishPart / float64(max(1, d.Servers)), known: map[int]caller{}}
 	s.teach(d.Learnt, cores*d.Crowd)
 	host.CloseIdle(Tenths(math.Ceil(math.Pow(min(1, linked*cores/many), 2) * float64(d.IdleMost))))
@@ -153,9 +147,7 @@
 }
 
 // CallShare has it keep so many calls in hand in the mean at most, where what lies below is shared.
-func (s *Server) CallShare(most float64) {
-	s.calls.allowed, s.calls.most = most*min(1, s.calls.allowed/max(s.calls.most, 1e-9)), most
-}
+func (s *Server) CallShare(most float64) { s.calls.most = most }
 
 // Beside books memory of work items that have been read and are not taken yet; less than 0 gives it back.
 func (s *Server) Beside(kb float64) { s.memory += kb }
@@ -164,36 +156,47 @@
 func (s *Server) Take(a Arrival) *WorkItem {
 	c := s.categories[max(0, min(a.Category, len(s.categories)-1))]
 	w := &WorkItem{Door: a.Door, s: s, category: c, arrived: s.now - a.Unread, kb: a.HeldKb, place: -1,
-		turn: a.Turn, behind: a.Behind}
+		turn: a.Turn, behind: a.Behind, reads: a.Reads && c.effect == Harmless && s.fresh > 0}
 	w.contract, w.due = w.arrived+c.contract, w.arrived+c.expiry
 	if a.Left > 0 {
 		w.due = s.now + a.Left
 	}
 	w.due = min(w.due, s.stop) - s.margin
 	if waits := float64(a.Left+a.Unread) / float64(c.expiry); s.callers.later(a, waits) {
-		// It waits for what is left of the expiry; its contract time began with the first try.
-		w.contract -= Tenths((1 - min(1, waits)) * float64(c.expiry))
+		w.contract -= Tenths((1 - min(1, waits)) * float64(c.expiry)) // it began with the first try
 	}
 	toward(&s.pool.unread, float64(a.Unread), smoothing)
 	s.memory += w.kb
-	if a.Repeats && c.effect == Stamped {
-		// One run at most comes of a stamp's tries: a later one shares the answer of a run begun, or takes the
-		// place of one held, whose caller has mostly left. Had it come before that one, another may have run.
-		if a.Earlier == nil || a.Earlier.state != held || w.arrived < a.Earlier.arrived {
-			w.state = sharing
-			if s.watch(w, w.due); s.tight() { // no room to wait in
-				s.breakOff(w)
-			} else {
-				s.host.Share(w)
+	// One run at most comes of a stamp's tries: a later one shares the answer of a run begun, or takes the
+	// place of one held, whose caller has mostly left. Had it come before that one, another may have run.
+	e, stamped := a.Earlier, a.Repeats && c.effect == Stamped
+	if stamped && (e == nil || e.state != held || w.arrived < e.arrived) || a.Repeats && s.mayShare(w, e) {
+		if w.state, s.sharing = sharing, s.sharing+1; e != nil {
+			if e.wanted = true; w.reads && e.state == held {
+				s.asked = append(s.asked, e)
 			}
-			return w
 		}
-		s.decline(a.Earlier, 0, false)
+		if s.watch(w, w.due); s.tight() { // no room to wait in
+			s.breakOff(w)
+		} else {
+			s.host.Share(w)
+		}
+		return w
+	}
+	if stamped {
+		s.decline(e, 0, false)
 	}
 	s.hold.join(w)
 	return w
 }
 
+// mayShare says whether a read may have the result of another. Guards against what all ask for at one moment;
+// harms those that share with one that fails or is declined.
+func (s *Server) mayShare(w, e *WorkItem) bool {
+	return w.reads && !s.tight() && !(s.leaving && w.arrived >= s.graceEnd) && !s.crowdFull() &&
+		float64(s.sharing) < s.crowd()/2 && (e == nil || e.state != sharing && !e.answered && !e.gone)
+}
+
 // AtCall: the run can't go on without a call below.
 func (w *WorkItem) AtCall() {
 	if w.state == running {
@@ -218,14 +221,13 @@
 	w.state = standing
 	switch {
 	case how == Well:
-		s.pool.cur.calls++
 		s.pool.atCalls--
 		w.state = running
 	case how == Unseen || w.category.effect == Harmless && !w.answered && !w.gone:
 		w.notYet = s.now + max(s.look, (s.now-w.began)/2) // ever longer
 		s.stood = append(s.stood, w)
 	default:
-		s.breakOff(w)
+		s.without(w)
 	}
 }
 
@@ -260,8 +262,10 @@
 			s.pool.cur.out++
 		}
 	}
-	if how == NeverBegun {
+	if how == NeverBegun || w.reads && how != Well {
 		w.forget()
+	} else if w.reads && w.stamped > 0 {
+		w.keep(s.now + s.fresh)
 	}
 	s.finish(w)
 }
@@ -278,7 +282,7 @@
 }
 
 func (s *Server) stopRun(w *WorkItem) {
-	if w.state == running && s.stops && w.category.effect == Harmless {
+	if w.state == running && s.stops && w.category.effect == Harmless && !w.wanted {
 		s.host.Stop(w)
 	}
 }
@@ -306,9 +310,7 @@
 
 // Decide ends a batch.
 func (s *Server) Decide() {
-	if rate, over := s.pool.experiment(s.now); over {
-		s.calls.size(rate)
-	}
+	s.pool.experiment(s.now)
 	s.lastMoments()
 	s.makeCalls()
 	for _, w := range s.hold.fresh {
@@ -328,8 +330,8 @@
 		if queued > max(0, budget) {
 			s.decline(w, queued, false)
 		} else {
-			// From then on it has no fair chance left; it is answered at once.
-			s.watch(w, max(s.now+1, min(w.due, w.worthUntil()-w.category.runs.at(fairChance))))
+			ends := w.worthUntil() - w.category.runs.at(fairChance) // it has none from then on and is answered at once
+			s.watch(w, max(s.now+1, min(w.due, ends)))
 		}
 	}
 	clear(s.hold.fresh)
@@ -348,9 +350,8 @@
 	}
 }
 
-// worthUntil is the last moment at which an answer still earns something. What is beyond its tenant's part
-// waits in line, not by value, and is held only for an answer in its contract time: else the line would fill
-// with late ones.
+// worthUntil is the last moment at which an answer earns something. Beyond its tenant's part that is the
+// contract time: the line there goes by turns, not by value, and would fill with late ones.
 func (w *WorkItem) worthUntil() Tenths {
 	if w.category.lateShare > 0 && (w.within || w.state != held) {
 		return w.due
@@ -365,12 +366,15 @@
 	return c.gain * (fits + (1-fits)*c.lateShare) / c.typical()
 }
 
-// typical is the time that its runs take.
 func (c *category) typical() float64 { return float64(max(c.runs.width, c.runs.at(0.5))) }
 
-// tight says that there is no room left to hold more.
 func (s *Server) tight() bool { return s.memory > s.memoryMost*(1+workPart)/2 }
 
+// remembers says that there is room for another entry in the table of stamps.
+func (s *Server) remembers() bool {
+	return s.memory+s.entryKb <= s.memoryMost*workPart && s.entries < s.entriesMost
+}
+
 // admit answers at once what must not be held, and has stamps remembered before they can run.
 func (s *Server) admit(w *WorkItem) {
 	stamped := w.category.effect == Stamped
@@ -379,15 +383,13 @@
 		s.decline(w, forever, false)
 	case s.now+w.category.quiet.at(0.1) >= w.worthUntil(): // too late anywhere
 		s.decline(w, 0, true)
-	case s.tight() && !s.makeRoom(w),
-		stamped && (s.memory+s.entryKb > s.memoryMost*workPart || s.entries >= s.entriesMost):
-		// No room to hold it, or to remember that it ran.
+	case s.tight() && !s.makeRoom(w), stamped && !s.remembers(): // no room to hold it, or to know that it ran
 		s.decline(w, s.look, false)
+	case w.reads && s.remembers():
+		w.keep(w.due)
 	case stamped:
 		// Until the window from the arrival of this try has passed: repeats are matched by their arrival.
-		w.stamped = max(s.now+1, w.arrived+w.category.window+s.margin)
-		s.memory, s.entries = s.memory+s.entryKb, s.entries+1
-		s.host.Remember(w, w.stamped-s.now)
+		w.keep(w.arrived + w.category.window + s.margin)
 	}
 }
 
@@ -414,15 +416,18 @@
 	}
 }
 
-// crowdFull says that no more may come onto the cores; fewer may while cold. Those on the disk and those whose
-// calls are out can all come back at once, so they count.
-func (s *Server) crowdFull() bool {
+func (s *Server) crowd() float64 {
 	speed := 1 - (1-s.coldFrom)*float64(max(0, s.warmAt-s.now))/float64(max(1, s.coldFor))
-	most := s.pool.cores * (1 + (s.crowdMost-1)*speed) * crowdPart
-	return float64(s.pool.in-s.pool.atCalls+s.calls.in) >= most-1
+	return s.pool.cores * (1 + (s.crowdMost-1)*speed) * crowdPart
+}
+
+// crowdFull says that no more may come onto the cores. Those on the disk, those whose calls are out and those
+// that wait for a result to share can all come at once, so they count.
+func (s *Server) crowdFull() bool {
+	most := s.crowd()
+	return float64(s.pool.in-s.pool.atCalls+s.calls.in)+min(float64(s.sharing), most/2) >= most-1
 }
 
-// lastMoments answers what can't wait any longer.
 func (s *Server) lastMoments() {
 	for len(s.moments) > 0 && s.moments[0].moment <= s.now {
 		switch w := heap.Pop(&s.moments).(*WorkItem); {
@@ -444,14 +449,13 @@
 	for _, w := range s.stood {
 		switch {
 		case w.state != standing || w.answered || w.gone:
-		case s.now+Tenths(s.calls.lately*math.Ln2) > w.worthUntil() && s.calls.in > 0:
+		case s.now+Tenths(s.calls.lately*math.Ln2) > w.worthUntil() && s.calls.in > 0 || w.poorerInTime(len(wait)):
 			// The check of the budget at a call. One call is always let through, to learn of a recovery.
-			s.breakOff(w)
+			s.without(w)
 		case w.notYet > s.now || s.crowdFull():
 			wait = append(wait, w)
 		default:
-			c := &s.calls
-			room := c.room(s.now, w.category.effect != Harmless)
+			c, room := &s.calls, s.calls.room(s.now, w.category.effect != Harmless)
 			if room <= s.now {
 				wait = append(wait, w)
 				continue
@@ -467,6 +471,22 @@
 	s.stood = wait
 }
 
+// without has a work item go on without its call where that earns something, and breaks it off elsewhere.
+func (s *Server) without(w *WorkItem) {
+	if w.category.poorer == 0 || w.answered || w.gone {
+		s.breakOff(w)
+		return
+	}
+	w.state, s.pool.atCalls = running, s.pool.atCalls-1
+	s.host.Skip(w)
+}
+
+// poorerInTime says whether only an answer without the call will be in time, with so many calls to wait for.
+func (w *WorkItem) poorerInTime(before int) bool {
+	takes := w.s.calls.lately*(1+float64(before)/max(1, w.s.calls.most)) + w.category.typical()/2
+	return w.category.poorer > w.category.lateShare && float64(w.contract-w.s.now) < takes
+}
+
 func (s *Server) watch(w *WorkItem, at Tenths) {
 	if w.place >= 0 {
 		heap.Remove(&s.moments, w.place)
@@ -505,7 +525,9 @@
 	case w.state == held:
 		s.hold.leave(w)
 		w.forget()
-	case w.state != sharing:
+	case w.state == sharing:
+		s.sharing--
+	default:
 		s.pool.in--
 		s.memory -= w.kb * (s.runFactor - 1)
 	}
@@ -518,6 +540,16 @@
 	}
 }
 
+// keep has the host tell, up to this moment, which work items repeat it.
+func (w *WorkItem) keep(until Tenths) {
+	s := w.s
+	if w.stamped == 0 {
+		s.memory, s.entries = s.memory+s.entryKb, s.entries+1
+	}
+	w.stamped = max(s.now+1, until)
+	s.host.Remember(w, w.stamped-s.now)
+}
+
 // forget frees the stamp of what provably never ran: else what cannot run would fill the memory of stamps.
 func (w *WorkItem) forget() {
 	if w.stamped > w.s.now {
@@ -528,17 +560,15 @@
 
 // tell says how much more this server can take, in the callers' tongue: work items, or by the share declined.
 func (s *Server) tell() {
-	c, value := &s.callers, 0.0
-	switch {
-	case s.leaving && c.tongue == Rank:
+	c, value := &s.callers, s.callers.turned
+	if s.leaving {
 		value = 1
-	case s.leaving:
-	case c.tongue == Rank:
-		value = c.turned
-	case c.tongue == Odds:
-		value = 1 - c.turned
-	default:
-		value = max(1.0/few, s.pool.invites()*min(1, c.squares/max(1, c.sum*c.sum))) // each active one's part
+	}
+	switch {
+	case c.tongue == Odds, c.tongue == Allowed && s.leaving:
+		value = 1 - value
+	case c.tongue == Allowed: // each active one's part
+		value = max(1.0/few, s.pool.invites()*min(1, c.squares/max(1, c.sum*c.sum)))
 	}
 	if value = math.Round(value*few) / few; value != c.said && c.tongue != Mute {
 		c.said = value
@@ -549,27 +579,26 @@
 // pool is how many work items may be between their start and their end, found by experiment.
 type pool struct {
 	size, step, cores   float64
-	in, atCalls         int     // begun and not over; of these off the cores at a call
-	trip                float64 // mean time to an answer, of late
-	counts, end, relief Tenths  // of the window; when it may give way to a crowd again
+	in, atCalls         int    // begun and not over; of these off the cores at a call
+	counts, end, relief Tenths // of the window; when it may give way to a crowd again
 	cur, before         window
 	full                bool    // it bound a start in this window
-	onCores             float64 // what wants a core, of late
+	trip, onCores       float64 // mean time to an answer, and what wants a core, of late
 	unread, contract    float64 // the time work items lie unread, of late; the shortest contract time
 }
 
-type window struct{ in, out, drops, calls float64 } // what one experiment counted
+type window struct{ in, out, drops float64 } // what one experiment counted
 
-// experiment moves the pool, in equal steps, by what the last window brought, and gives its rate of calls.
-func (p *pool) experiment(now Tenths) (calls float64, over bool) {
+// experiment moves the pool, in equal steps, by what the last window brought.
+func (p *pool) experiment(now Tenths) {
 	if p.counts > 0 && now >= p.counts {
 		p.cur, p.counts = window{}, 0 // the first round trip is skipped
 	}
 	if now < p.end {
-		return 0, false
+		return
 	}
 	span := (trips - 1) * p.trip
-	cur := window{p.cur.in / span, p.cur.out / span, p.cur.drops / span, p.cur.calls / span}
+	cur := window{p.cur.in / span, p.cur.out / span, p.cur.drops / span}
 	if p.full && cur.in > 0 {
 		more, gained := cur.in-p.before.in, cur.out-p.before.out
 		if more <= 0 {
@@ -583,19 +612,17 @@
 	}
 	p.before, p.cur, p.full = cur, window{}, false
 	p.counts, p.end = now+Tenths(p.trip), now+Tenths(trips*p.trip)
-	return cur.calls, true
 }
 
 // gauged moves the pool where no experiment is needed to know the answer.
 func (p *pool) gauged(g Gauges, now Tenths, waiting int) {
 	toward(&p.onCores, g.OnCores, smoothing)
-	// While cores read idle and work waits, more can run.
-	idle := p.cores - g.OnCores
+	idle := p.cores - g.OnCores // while they read idle and work waits, more can run
 	if p.in >= p.room() && waiting > 0 && idle >= 1 && g.CoreUse < idleCores {
 		p.size += math.Floor(min(idle, float64(waiting)))
 	}
-	// What crowds them adds nothing; this shows once a round trip. Guards against what piles runs up faster than
-	// windows see (slow or shared cores, storms of reading); harms where the gauge counts what does not compete.
+	// What crowds them adds nothing; this shows once a round trip. Guards against what piles up faster than
+	// windows see (slow cores, storms of reading); harms where the gauge counts what does not compete.
 	if over := p.onCores - crowded*p.cores; over > 0 && now >= p.relief {
 		p.size = max(p.cores, min(p.size, float64(p.in))-math.Ceil(over))
 		p.relief = now + Tenths(p.trip)
@@ -616,18 +643,16 @@
 
 // calls keeps what this server has in the hands of what lies below within its share.
 type calls struct {
-	shared              bool
-	in                  int
-	most, allowed, step float64 // in hand in the mean: the most, what is allowed now, and its next change
-	left, span, rate    float64 // what is left of that; span of the mean; calls well in the window before
-	at, linger          Tenths
-	lingering           []Tenths // ends of calls given up
-	lately              float64  // time of calls
-	quick               spread   // times of calls while they were not slow
-	servers             float64  // of the fleet
-	spread, turn        float64  // when its turns come, as part of all; the length of all while calls are quick
-	part, partOf        float64  // of the time are its turns, worked out for so many allowed and servers
-	warm                int      // few/2 or more after a call that went well; four in a row outlast a bad one
+	shared           bool
+	in               int
+	most, left, span float64 // in hand in the mean; what is left of that; the span of the mean
+	at, linger       Tenths
+	lingering        []Tenths // ends of calls given up
+	quick            spread   // times of calls while they were not slow
+	lately, servers  float64  // time of calls; of the fleet
+	spread, turn     float64  // when its turns come, as part of all; the length of all while calls are quick
+	part, partOf     float64  // of the time are its turns, worked out for so many allowed and servers
+	warm             int      // few/2 or more after a call that went well; four in a row outlast a bad one
 }
 
 func (c *calls) slow() bool { return c.lately > slowCalls*float64(c.quick.at(0.25)) }
@@ -639,52 +664,38 @@
 	toward(&c.lately, float64(t), smoothing)
 }
 
-// size puts calls in hand to the marginal test while they are slow, within the share and above a part of it.
-// Guards what lies below against a jam that feeds itself; harms a little where it is slow for another reason.
-func (c *calls) size(rate float64) {
-	if !c.slow() {
-		c.step = 1 / callStep
-	} else if rate-c.rate <= efficiency*(c.step-1)*c.rate {
-		c.step = 1 / c.step
-	}
-	c.rate, c.allowed = rate, max(c.most*(1-callStep), min(c.most, c.allowed*c.step))
-}
-
-// room keeps the mean of calls in hand, those given up included while they linger, within the share: what
-// the share allows piles up, what is in hand uses it. A share of less than one lets some through this way.
-// It gives until when another may be in hand; now and earlier is not at all.
+// room gives until when another call may be in hand; now and earlier is not at all. The mean in hand, those
+// given up included while they linger, stays within the share: what that allows piles up, calls use it.
 func (c *calls) room(now Tenths, effects bool) Tenths {
 	for len(c.lingering) > 0 && c.lingering[0] <= now {
 		c.lingering = c.lingering[1:]
 	}
 	in := float64(c.in + len(c.lingering))
-	c.left, c.at = min(c.left+(c.allowed-in)*float64(now-c.at), c.allowed*c.span*smoothing/2), now
+	c.left, c.at = min(c.left+(c.most-in)*float64(now-c.at), c.most*c.span*smoothing/2), now
 	switch {
-	case !c.shared || c.left > 0 && in < math.Floor(c.allowed):
+	case !c.shared || c.left > 0 && in < math.Floor(c.most):
 		return forever
-	case c.left <= 0 || in >= math.Ceil(c.allowed):
+	case c.left <= 0 || in >= math.Ceil(c.most):
 		return now
 	}
 	return c.myTurn(now, effects)
 }
 
-// myTurn gives until when the call by which a part is rounded up may be in hand. Where few come of it if all
-// servers do so, or while calls go well and take little of the time, always; else in turns, which the seed
-// spreads, so that few come of it at any moment, however many servers there are. Guards what lies below, cold
-// or back again, against parts that all round up at once; harms where calls take longer than a turn: they are
-// given up, and turns are made longer.
+// myTurn gives until when the call by which a part is rounded up may be in hand: always, where few come of it
+// if all do so or calls go well and quickly; else in turns that the seed spreads. Guards what is below, cold
+// or back again, against all rounding up at once; harms where calls outlast a turn: they are given up.
 func (c *calls) myTurn(now Tenths, effects bool) Tenths {
-	if c.partOf != c.allowed*c.servers {
+	if c.partOf != c.most*c.servers {
 		for c.part = 1; c.part > alike && (c.tooMany(c.servers) || c.tooMany(c.servers*growth)); {
 			c.part -= alike / 2
 		}
-		c.partOf = c.allowed * c.servers
+		c.partOf = c.most * c.servers
 	}
 	turn, need := max(c.turn*c.part, 2*float64(c.linger)), slowCalls*c.lately
 	if c.part == 1 || c.warm >= few/2 && need <= c.turn*c.part {
 		return forever
 	}
-	for turn < need {
+	for turn < need { // turns are made longer
 		turn *= 2
 	}
 	if !effects { // one given up is made again
@@ -699,7 +710,7 @@
 
 // tooMany says whether so many servers may hold too many, where each rounds up for this part of the time.
 func (c *calls) tooMany(servers float64) bool {
-	n, whole := c.most/callsPart*servers, math.Floor(c.allowed)
+	n, whole := c.most/callsPart*servers, math.Floor(c.most)
 	return servers*(whole+c.part)+chance*math.Sqrt(servers*c.part*(1-c.part)) > n+2*math.Sqrt(n)+1
 }
 
@@ -713,23 +724,18 @@
 
 // callers is what this server knows of those who call it and what it tells them.
 type callers struct {
-	tongue       Tongue
-	said         float64
-	maxAway      Tenths
-	known        map[int]caller
-	sum, squares float64 // of the work items taken of late, by caller
-	all          caller  // as if all were one
-	turned       float64 // share of work items declined, of late
-	laterTries   float64 // share of later tries, of late
-	wishFrom     float64 // and from where these are taken to be so on all servers
-	pace         float64 // times of runs of late, in those of quiet ones
+	tongue             Tongue
+	marked             bool // later tries are
+	maxAway            Tenths
+	known              map[int]caller
+	all                caller  // as if all were one
+	said, sum, squares float64 // to them; of the work items taken of late, by caller
+	turned, laterTries float64 // shares of work items declined, and of later tries, of late
+	wishFrom, pace     float64 // from where these are so on all servers; times of runs, in those of quiet ones
 }
 
-type caller struct {
-	taken float64 // work items of late
-	waits float64 // how long its first tries wait, as a share of the expiry: what most of its tries do
-	votes float64 // by how many these are ahead
-}
+// caller is how much came of late, how long most of its tries wait, in expiries, and by how many these lead.
+type caller struct{ taken, waits, votes float64 }
 
 // later books a work item with its caller and says whether it is a later try that waits for what is left.
 func (c *callers) later(a Arrival, waits float64) bool {
@@ -749,6 +755,7 @@
 		}
 		maps.DeleteFunc(c.known, func(_ int, k caller) bool { return k.taken < 1.0/enough })
 	}
+	odd = odd && (a.Again || !c.marked)
 	if toward(&c.laterTries, 0, smoothing/few); odd || a.Again {
 		c.laterTries += smoothing / few
 	}
@@ -767,7 +774,6 @@
 	return c.votes > few
 }
 
-// declinedAnywhere says whether other servers seem to decline as this one does: many later tries come, or
-// much is turned away though runs are quick. Guards against tries that walk through a large fleet, whatever
-// started them; harms where this server alone is short of room though its runs are not slow.
+// declinedAnywhere says whether other servers seem to decline too: many later tries come, or much is declined
+// though runs are quick. Guards against tries that walk through a large fleet; harms where this one is short.
 func (c *callers) declinedAnywhere() bool { return max(c.laterTries, c.turned) > c.pace*c.wishFrom }
--- a/admission/books.go
+++ b/admission/books.go
@@ -131,7 +131,7 @@
 // Books reads them.
 func (s *Server) Books() Books {
 	return Books{Held: s.hold.n, Running: s.pool.in, AtCalls: s.pool.atCalls, Calling: s.calls.in, Lingering: len(s.calls.lingering),
-		Entries: s.entries, Pool: s.pool.size, CallsAllowed: s.calls.allowed, CallsLeft: s.calls.left, OnCores: s.pool.onCores,
+		Entries: s.entries, Pool: s.pool.size, CallsAllowed: s.calls.most, CallsLeft: s.calls.left, OnCores: s.pool.onCores,
 		Unread: Tenths(s.pool.unread), Trip: Tenths(s.pool.trip), CallsLately: Tenths(s.calls.lately),
 		CallsQuick: s.calls.quick.at(0.25), MemoryKb: s.memory}
 }
--- a/admission/hold.go
+++ b/admission/hold.go
@@ -9,10 +9,8 @@
 	"github.com/google/btree"
 )
 
-const (
-	degree    = 16       // of the trees: some 16 to 32 work items a node
-	almostAll = 1 - 1e-9 // a quantile that rounding does not carry over the top
-)
+// degree is that of the trees; almostAll is a quantile that rounding does not carry over the top.
+const degree, almostAll = 16, 1 - 1e-9
 
 // hold keeps the work items that wait. Those whose turn has come stand by category and the end of their
 // contract time, as that alone tells their values apart; those beyond their tenant's part, by their turn.
@@ -88,7 +86,11 @@
 
 // best is the most valuable one whose turn has come, among equals the older.
 func (s *Server) best() (best *WorkItem) {
-	s.hold.come()
+	for s.hold.come(); len(s.asked) > 0; s.asked = s.asked[1:] {
+		if s.asked[0].state == held {
+			return s.asked[0]
+		}
+	}
 	value := 0.0
 	for i, line := range s.hold.due {
 		last, some := line.Max()
--- a/admission/host.go
+++ b/admission/host.go
@@ -39,6 +39,7 @@
 type Category struct {
 	Gain      float64
 	LateShare float64 // share of the gain left between contract time and expiry
+	Poorer    float64 // and of an answer made without the call below; 0 where there is none
 	Contract  Tenths
 	Expiry    Tenths
 	Window    Tenths // how long a stamped work item may come again
@@ -49,7 +50,8 @@
 type Deployment struct {
 	Categories []Category
 	Callers    int
-	Servers    int // of the fleet, at this start
+	Marked     bool // further tries are marked (Arrival.Again)
+	Servers    int  // of the fleet, at this start
 	Cores      int
 	Memory     float64 // kilobytes
 	RunFactor  float64 // memory of a running work item over that of a held one
@@ -57,6 +59,7 @@
 	Entries    int     // the most stamps remembered; 0 where the memory alone bounds them
 	Period     Tenths  // batches come at most this often
 	Grace      Tenths  // what comes later than this after the notice to leave is not run
+	Fresh      Tenths  // for how long the result of a read may serve others; 0 for never
 
 	Cold     bool
 	ColdFrom float64 // share of its speed that a cold server starts at
@@ -92,8 +95,9 @@
 	Unread   Tenths    // time since it reached the machine
 	Left     Tenths    // time its caller still waits; 0 where that is not told
 	Again    bool      // marked as a further try
-	Repeats  bool      // another try of the same stamped work item is held here or has run
+	Repeats  bool      // another try of the same stamped work item is held here or has run; or another read of the same
 	Earlier  *WorkItem // that try, where the host still has its handle
+	Reads    bool      // its result may serve others for a while (Deployment.Fresh)
 	Turn     float64   // it waits while others do whose turn has come (see Server.Turn); 0: for nobody
 	Behind   Tenths    // how long what has turns before it, of its own tenant, will take; 0 where that is not told
 	Door     uint64    // the host's own mark, never read here
@@ -114,6 +118,7 @@
 	BreakOff(w *WorkItem)
 	Stop(w *WorkItem)
 	Call(w *WorkItem, until Tenths) // until is clock time
+	Skip(w *WorkItem)               // go on without the call; only where the category has a poorer answer
 	Remember(w *WorkItem, span Tenths)
 	Forget(w *WorkItem)
 	Say(value float64)
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -114,13 +114,15 @@
 			"callers":  func(v float64) { d.Callers = int(v) },
 			"idle":     func(v float64) { d.IdleMost = Tenths(v * 10) },
 			"tongue":   func(v float64) { d.Tongue = Tongue(v) },
+			"fresh":    func(v float64) { d.Fresh = Tenths(v * 10) },
+			"marked":   func(v float64) { d.Marked = v == 1 },
 			"crowd":    func(v float64) { d.Crowd = v },
 		})
 	case "category":
 		f := s.fields(word[2:], where)
 		effect := map[string]Effect{"harmless": Harmless, "stamped": Stamped, "oneshot": OneShot}
 		s.Contains(effect, word[1], where)
-		d.Categories = append(d.Categories, Category{Gain: f["gain"], LateShare: f["late"],
+		d.Categories = append(d.Categories, Category{Gain: f["gain"], LateShare: f["late"], Poorer: f["poorer"],
 			Contract: Tenths(f["contract"] * 10), Expiry: Tenths(f["expiry"] * 10),
 			Window: Tenths(f["window"] * 10), Effect: effect[word[1]]})
 	case "take":
@@ -181,6 +183,7 @@
 		"turn":     func(v float64) { a.Turn = v },
 		"behind":   func(v float64) { a.Behind = Tenths(v * 10) },
 		"again":    func(v float64) { a.Again = v == 1 },
+		"reads":    func(v float64) { a.Reads = v == 1 },
 	})
 	for _, name := range names {
 		a.Door = uint64(len(s.names) + 1)
@@ -221,6 +224,7 @@
 func (s *stage) Stop(w *WorkItem)               { s.note("stop", w) }
 func (s *stage) Remember(w *WorkItem, _ Tenths) { s.note("remember", w) }
 func (s *stage) Forget(w *WorkItem)             { s.note("forget", w) }
+func (s *stage) Skip(w *WorkItem)               { s.note("skip", w) }
 func (s *stage) Call(w *WorkItem, until Tenths) {
 	s.note("call", w)
 	if until < w.worthUntil() { // it is given up before its answer is worth nothing
--- a/admission/sum_test.go
+++ b/admission/sum_test.go
@@ -48,6 +48,7 @@
 func (c *caged) CloseIdle(Tenths)                {}
 func (c *caged) Wake(Tenths)                     {}
 func (c *caged) Over(*WorkItem)                  {}
+func (c *caged) Skip(*WorkItem)                  {}
 func (c *caged) Call(w *WorkItem, until Tenths) {
 	b := c.b
 	o := &out{w: w, made: b.now, ends: b.now + b.takes[0] + Tenths(b.chance.Int63n(int64(b.takes[1]-b.takes[0])+1)), well: true}
--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -319,6 +319,7 @@
 		terms.Categories = slices.Clone(terms.Categories)
 		for i, c := range terms.Categories {
 			terms.Categories[i].Window = kept(c)
+			terms.Categories[i].Poorer = 0 // the protocol has no word for going on without a call
 		}
 		// Stamps and results lie in this process's memory, not in the interpreter's that the settings speak of.
 		terms.EntryKb, terms.Entries = 0, max(1, a.place.Memory/stampsPart/stampSize-a.keeping.recalled())
--- a/internal/appserver/items.go
+++ b/internal/appserver/items.go
@@ -528,6 +528,8 @@
 
 func (t *items) Stop(w *admission.WorkItem) { t.app.interpreter.stop(t.of(w)) }
 
+func (t *items) Skip(*admission.WorkItem) { t.app.must(false, "went on without a call") }
+
 func (t *items) Call(w *admission.WorkItem, until admission.Tenths) { t.app.index.make(t.of(w), until) }
 
 func (t *items) Remember(w *admission.WorkItem, span admission.Tenths) {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -38,13 +38,16 @@
 		}
 		FamilyInfo struct {
 			CallShare, CallsOver, EntryKb, KeepaliveMax float64
+			Fresh                                       float64
+			ClassSkipWorth                              []float64
 			Linger, MemoryKb, RunFactor                 float64
 			Callers, Cores                              int
 			Cold                                        bool
 			Downstream, Halt, Say                       string
 			Meters                                      []string
 		}
-		Limits struct {
+		Clients struct{ MarksRetry bool }
+		Limits  struct {
 			MaxRetryAfter float64
 			RetryAfter    bool
 		}
@@ -80,7 +83,7 @@
 		}
 	}
 	for path, v := range map[string]float64{"CallShare": info.CallShare, "CallsOver": info.CallsOver, "EntryKb": info.EntryKb,
-		"KeepaliveMax": info.KeepaliveMax, "Linger": info.Linger, "MemoryKb": info.MemoryKb, "RunFactor": info.RunFactor,
+		"KeepaliveMax": info.KeepaliveMax, "Linger": info.Linger, "Fresh": info.Fresh, "MemoryKb": info.MemoryKb, "RunFactor": info.RunFactor,
 		"Callers": float64(info.Callers), "Cores": float64(info.Cores)} {
 		figure("FamilyInfo."+path, v)
 	}
@@ -113,6 +116,11 @@
 			l.Add(at+".Window", "how long a repeat may come", "by_key without a window")
 		}
 	}
+	for i, v := range info.ClassSkipWorth {
+		if !(v >= 0 && v <= 1) {
+			l.Add(fmt.Sprintf("FamilyInfo.ClassSkipWorth[%d]", i), "from 0 to 1", "%v is out of range", v)
+		}
+	}
 	word("FamilyInfo.Halt", info.Halt, []string{"silent", "drop", "pause"})
 	word("FamilyInfo.Downstream", info.Downstream, []string{"silent", "common", "next_hop"})
 	word("FamilyInfo.Say", info.Say, append([]string{"silent"}, slices.Sorted(maps.Keys(tongues))...))
@@ -129,9 +137,9 @@
 		return nil, l
 	}
 	t := &Terms{Named: map[string]int{}, tenants: map[string]bool{}, Deployment: admission.Deployment{
-		Callers: info.Callers, Servers: env.Servers, Cores: info.Cores,
+		Callers: info.Callers, Marked: env.Clients.MarksRetry, Servers: env.Servers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: Up(env.Period),
-		Grace: Down(rules.DrainGrace), Cold: info.Cold,
+		Grace: Down(rules.DrainGrace), Fresh: Down(info.Fresh), Cold: info.Cold,
 		ColdFrom: rules.ColdFrom, ColdFor: Up(rules.Cold), Crowd: rules.TipMultiple,
 		SharedBelow: info.Downstream == "common", CallShare: info.CallShare,
 		CallsOver: Down(info.CallsOver), Linger: Up(info.Linger), Tongue: tongues[info.Say],
@@ -143,7 +151,7 @@
 		t.Named[c.Name] = i
 		t.Categories = append(t.Categories, admission.Category{Gain: c.Worth, LateShare: c.LateWorth,
 			Contract: Down(c.OnTime), Expiry: Down(c.HardLimit), Window: Up(window(c.Window)),
-			Effect: effects[c.Effect]})
+			Effect: effects[c.Effect], Poorer: at(info.ClassSkipWorth, i)})
 	}
 	for _, tenant := range env.Tenants {
 		if t.tenants[tenant.Name] = true; tenant.Share > 0 {
@@ -156,6 +164,14 @@
 	return t, nil
 }
 
+// at is the figure of a category in a list by their places, 0 where there is none.
+func at(list []float64, i int) float64 {
+	if i < len(list) {
+		return list[i]
+	}
+	return 0
+}
+
 // window is how long a repeat may come; only by_key has to say.
 func window(told *float64) float64 {
 	if told == nil {
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -48,6 +48,8 @@
 			`7200,`, `Categories[0].OnTime: 7200: the answer is wanted within more than its caller waits; expected at most HardLimit, 7100`},
 		{`, "Window": 35000`, ``, `{"Name": "book"`, `Categories[1].Window: by_key without a window; expected how long a repeat may come`},
 		{`"LateWorth": 0.2`, `"LateWorth": -1`, `-1,`, `Categories[0].LateWorth: -1 is out of range; expected from 0 to 1e12`},
+		{`"Cores": 6`, `"Cores": 6, "ClassSkipWorth": [0.5, 2]`, `2]`, `FamilyInfo.ClassSkipWorth[1]: 2 is out of range; expected from 0 to 1`},
+		{`"Cores": 6`, `"Cores": 6, "Fresh": -1`, `-1,`, `FamilyInfo.Fresh: -1 is out of range; expected from 0 to 1e12`},
 		{`"Cores": 6`, `"Cores": "six"`, `"six"`, `FamilyInfo.Cores: is a string; expected a value of type int`},
 		{`"Worth": 3,`, `"Worth": 3, "effect": "once",`, `"once"`, `Categories[1].effect: stands twice; expected each name once`},
 		{`"Halt"`, `Halt`, `Halt: "drop"`, `can't be read: invalid character 'H' looking for beginning of object key string; expected JSON`},
--- a/internal/rehearsal/rehearsal.go
+++ b/internal/rehearsal/rehearsal.go
@@ -222,6 +222,7 @@
 func (s *stage) Wake(after admission.Tenths) { s.wake = min(s.wake, s.now+float64(after)/perSecond) }
 
 func (s *stage) Share(*admission.WorkItem)                      {}
+func (s *stage) Skip(*admission.WorkItem)                       {}
 func (s *stage) Call(*admission.WorkItem, admission.Tenths)     {}
 func (s *stage) Remember(*admission.WorkItem, admission.Tenths) {}
 func (s *stage) Forget(*admission.WorkItem)                     {}
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -53,6 +53,7 @@
 func (h *host) Run(w *admission.WorkItem)      { h.plain("EXECUTE", w) }
 func (h *host) Share(w *admission.WorkItem)    { h.plain("SHARE", w) }
 func (h *host) BreakOff(w *admission.WorkItem) { h.plain("FINISH_ERROR", w) }
+func (h *host) Skip(w *admission.WorkItem)     { h.plain("OMIT", w) }
 func (h *host) Stop(w *admission.WorkItem)     { h.plain("INTERRUPT", w) }
 func (h *host) Forget(w *admission.WorkItem)   { h.plain("EVICT", w) }
 func (h *host) Over(w *admission.WorkItem)     { delete(h.items, w.Door) }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -227,7 +227,8 @@
 	}
 	a := admission.Arrival{Door: f.whole("Xid"), Category: f.place("Band"),
 		Caller: f.place("OriginPeer"), HeldKb: f.number("HeldKb"),
-		Unread: f.time("Lay", deployment.Down), Left: f.time("TimeLeft", deployment.Down), Again: f.flag("Retry")}
+		Unread: f.time("Lay", deployment.Down), Left: f.time("TimeLeft", deployment.Down), Again: f.flag("Retry"),
+		Reads: f.whole("Key") != 0}
 	if f.number("TimeLeft") != 0 {
 		a.Left = max(1, a.Left) // told, however little; none would mean that it was not
 	}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -66,6 +66,29 @@
 `, out)
 }
 
+// What the wire tells and asks where a site has them: marks, keys of reads, answers without a call.
+func TestReadsAndPoorerAnswers(t *testing.T) {
+	out, err := serve(`MARK T=10.0
+FOR Server=server-1
+CREATE Prng=7 Env={"Categories":[{"Effect":"repeatable","HardLimit":100,"OnTime":50,"Worth":1}],"Clients":{"MarksRetry":true},"FamilyInfo":{"Cores":1,"MemoryKb":1e6,"RunFactor":2,"Fresh":1000,"ClassSkipWorth":[0.4]},"Rules":{"TipMultiple":8}}
+INBOUND Xid=5 HeldKb=1 Key=77
+EOF_BATCH
+MARK T=20
+FOR Server=server-1
+INBOUND Xid=6 HeldKb=1 Key=77 Forerunner=5
+READY_TO_CALL Xid=5
+EOF_BATCH
+MARK T=59.9
+FOR Server=server-1
+CALLED Xid=5 Status=NOCONN Duration=39
+EOF_BATCH
+`)
+	require.NoError(t, err)
+	for _, line := range []string{"MEMO Xid=5 HoldFor=", "EXECUTE Xid=5\n", "SHARE Xid=6\n", "INVOKE Xid=5 Until=", "OMIT Xid=5\n"} {
+		require.Contains(t, out, line)
+	}
+}
+
 func TestMalformed(t *testing.T) {
 	for text, message := range map[string]string{
 		"EOF_BATCH\n":                             "line 1: a batch opens with MARK",
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -107,6 +107,7 @@
 func (*quiet) Decline(*admission.WorkItem, admission.Tenths, bool) {}
 func (*quiet) BreakOff(*admission.WorkItem)                        {}
 func (*quiet) Stop(*admission.WorkItem)                            {}
+func (*quiet) Skip(*admission.WorkItem)                            {}
 func (*quiet) Call(*admission.WorkItem, admission.Tenths)          {}
 func (*quiet) Remember(*admission.WorkItem, admission.Tenths)      {}
 func (*quiet) Forget(*admission.WorkItem)                          {}
