--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -316,6 +316,7 @@
 		terms := a.place.Terms.Deployment
 		terms.Cold = state == "COLD"
 		terms.Spread = a.chance.Float64()
+		terms.Stops = terms.Stops && !a.place.Terms.Pauses // the interpreter may read the answer after the order to stop
 		terms.Categories = slices.Clone(terms.Categories)
 		for i, c := range terms.Categories {
 			terms.Categories[i].Window = kept(c)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -19,6 +19,7 @@
 type Terms struct {
 	admission.Deployment
 	Named   map[string]int  // categories by name
+	Pauses  bool            // stopped work keeps its memory until its request is over
 	Shares  []ledger.Tenant // of the tenants that are told with one
 	tenants map[string]bool
 	rows    []func(*admission.Gauges) *float64
@@ -136,14 +137,14 @@
 		slices.SortStableFunc(l, func(a, b faults.Fault) int { return strings.Compare(a.Path, b.Path) })
 		return nil, l
 	}
-	t := &Terms{Named: map[string]int{}, tenants: map[string]bool{}, Deployment: admission.Deployment{
+	t := &Terms{Named: map[string]int{}, Pauses: info.Halt == "pause", tenants: map[string]bool{}, Deployment: admission.Deployment{
 		Callers: info.Callers, Marked: env.Clients.MarksRetry, Servers: env.Servers, Cores: info.Cores,
 		Memory: info.MemoryKb, RunFactor: info.RunFactor, EntryKb: info.EntryKb, Period: Up(env.Period),
 		Grace: Down(rules.DrainGrace), Fresh: Down(info.Fresh), Cold: info.Cold,
 		ColdFrom: rules.ColdFrom, ColdFor: Up(rules.Cold), Crowd: rules.TipMultiple,
 		SharedBelow: info.Downstream == "common", CallShare: info.CallShare,
 		CallsOver: Down(info.CallsOver), Linger: Up(info.Linger), Tongue: tongues[info.Say],
-		IdleMost: Down(info.KeepaliveMax), Stops: info.Halt == "drop"}}
+		IdleMost: Down(info.KeepaliveMax), Stops: info.Halt == "drop" || info.Halt == "pause"}} // the module stops only what is answered or gone
 	if env.Limits.RetryAfter {
 		t.MaxAway = Down(env.Limits.MaxRetryAfter)
 	}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -24,6 +24,10 @@
 	require.Equal(t, admission.Stamped, terms.Categories[1].Effect)
 	require.Equal(t, 1, terms.Named["book"])
 	require.Len(t, terms.Shares, 1)
+	require.True(t, terms.Stops && !terms.Pauses)
+	pauses, err := Read([]byte(strings.Replace(good, `"drop"`, `"pause"`, 1)))
+	require.NoError(t, err)
+	require.True(t, pauses.Stops && pauses.Pauses)
 	require.True(t, terms.Tenant([]byte("b")) && !terms.Tenant([]byte("c")))
 }
 
