--- a/internal/appserver/interpreter.go
+++ b/internal/appserver/interpreter.go
@@ -309,19 +309,24 @@
 var ends = map[string]admission.Outcome{"OK": admission.Well, "ERROR": admission.Badly,
 	"STOPPED": admission.Cut, "MOOT": admission.NeverBegun}
 
+// onSockets is what the settings mean where the protocol of sockets has no word for it: later tries bear no mark, runs do not
+// go on without a call, and the interpreter may read an answer after the order to stop, which pauses for good what is not over.
+func onSockets(of *deployment.Terms) admission.Deployment {
+	d := of.Deployment
+	d.Marked, d.Stops, d.Fresh = false, d.Stops && !of.Pauses, 0
+	d.Categories = slices.Clone(d.Categories)
+	for i, c := range d.Categories {
+		d.Categories[i].Window, d.Categories[i].Poorer = kept(c), 0
+	}
+	return d
+}
+
 // banner starts the module's server the first time, as cold or warm as the interpreter says it was.
 func (l *interpreter) banner(state string, since admission.Tenths) {
 	a := l.app
 	if a.server == nil {
-		terms := a.place.Terms.Deployment
-		terms.Cold = state == "COLD"
-		terms.Spread = a.chance.Float64()
-		terms.Stops = terms.Stops && !a.place.Terms.Pauses // the interpreter may read the answer after the order to stop
-		terms.Categories = slices.Clone(terms.Categories)
-		for i, c := range terms.Categories {
-			terms.Categories[i].Window = kept(c)
-			terms.Categories[i].Poorer = 0 // the protocol has no word for going on without a call
-		}
+		terms := onSockets(a.place.Terms)
+		terms.Cold, terms.Spread = state == "COLD", a.chance.Float64()
 		// Stamps and results lie in this process's memory, not in the interpreter's that the settings speak of.
 		terms.EntryKb, terms.Entries = 0, max(1, a.place.Memory/stampsPart/stampSize-a.keeping.recalled())
 		terms.Learnt = a.keeping.begin()
--- a/internal/appserver/links_test.go
+++ b/internal/appserver/links_test.go
@@ -271,3 +271,20 @@
 	require.NotNil(t, a.items.byID["00000000000000c1"])
 	require.Equal(t, admission.Tenths(10_040_000), a.items.byID["00000000000000c1"].reached)
 }
+
+// What the protocol of sockets has no word for is not decided by, whatever the settings say for the simulator's wire.
+func TestWhatSocketsHaveNoWordFor(t *testing.T) {
+	read := func(halt string) *deployment.Terms {
+		terms, err := deployment.Read([]byte(`{"Categories":[{"Effect":"repeatable","HardLimit":8000,"Name":"a","OnTime":4000,"Worth":1}],"Clients":{"MarksRetry":true},
+"FamilyInfo":{"Cores":2,"Halt":"` + halt + `","Fresh":1000,"ClassSkipWorth":[0.5]}}`))
+		require.NoError(t, err)
+		return terms
+	}
+	paused, dropped := read("pause"), read("drop")
+	d := onSockets(paused)
+	require.False(t, d.Marked || d.Stops)
+	require.Zero(t, d.Fresh)
+	require.Zero(t, d.Categories[0].Poorer)
+	require.Equal(t, 0.5, paused.Categories[0].Poorer) // the settings' own are not written
+	require.True(t, onSockets(dropped).Stops)
+}
