Runs that go on without their call stay within the crowd too

Read again: standing runs do not count to the crowd, and poorerInTime and without had them all back on the cores at one moment, past the guard that argues by. Now such a run waits while the crowd is full, and one that is too late is broken off as without this exception. Sockets never skip, so nothing changes there.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -473,7 +473,7 @@
 
 // without has a work item go on without its call where that earns something, and breaks it off elsewhere.
 func (s *Server) without(w *WorkItem) {
-	if w.category.poorer == 0 || w.answered || w.gone {
+	if w.category.poorer == 0 || w.answered || w.gone || s.crowdFull() {
 		s.breakOff(w)
 		return
 	}
@@ -484,7 +484,7 @@
 // poorerInTime says whether only an answer without the call will be in time, with so many calls to wait for.
 func (w *WorkItem) poorerInTime(before int) bool {
 	takes := w.s.calls.lately*(1+float64(before)/max(1, w.s.calls.most)) + w.category.typical()/2
-	return w.category.poorer > w.category.lateShare && float64(w.contract-w.s.now) < takes
+	return w.category.poorer > w.category.lateShare && float64(w.contract-w.s.now) < takes && !w.s.crowdFull()
 }
 
 func (s *Server) watch(w *WorkItem, at Tenths) {
