The grace period counts from the notice, also when the interpreter comes up after it

Cause: admission is made when the interpreter comes up; Drain counted the grace from then (admission/drain.go). Change: DrainSince takes the age of the notice, which lifecycle.go keeps.

--- a/admission/drain.go
+++ b/admission/drain.go
@@ -23,14 +23,18 @@
 // Drain is the notice that the process will be stopped after this time. Requests that arrive within the grace
 // (Config.DrainGrace) still run, later ones are rejected, and all get their answers before the stop. Routers
 // are notified through health checks and load reports. A second notice does nothing.
-func (s *Server) Drain(stopIn timeunit.Ticks) {
+func (s *Server) Drain(stopIn timeunit.Ticks) { s.DrainSince(0, stopIn) }
+
+// DrainSince is Drain for a notice that was given age ago, as when it came before the server could be made. The grace
+// counts from then.
+func (s *Server) DrainSince(age, stopIn timeunit.Ticks) {
 	d := &s.drain
 	if d.draining {
 		return
 	}
 	d.draining = true
 	d.stopAt = s.now + stopIn
-	d.graceEnd = s.now + d.grace
+	d.graceEnd = s.now - age + d.grace
 	for _, request := range slices.Concat(s.queue.arrivals, s.timers.heap) {
 		request.deadline = min(request.deadline, d.stopAt-s.answerMargin)
 		if request.state != stateFinished {
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -30,6 +30,7 @@
 	timeLeft := max(0, s.config.ShutdownTimeout-min(shutdownMargin, s.config.ShutdownTimeout/4))
 	s.log.Event("shutting_down").Str("name", s.config.Name).Int64("within_ms", timeLeft.Milliseconds()).
 		Int("requests", s.requests.count()).Send()
+	s.noticedAt = s.now
 	s.shutdownDeadline = s.now + timeLeft
 	s.advancePhase(phaseDraining)
 	for _, optional := range s.parts { // before anything is rejected for it
@@ -55,9 +56,11 @@
 	s.setTimer(&timer{fire: func() { s.setTimer(&timer{fire: stop}, s.now+1) }}, s.shutdownDeadline)
 }
 
+// notifyAdmissionOfDrain passes the notice on, at once or when the interpreter comes up. The grace counts from the
+// notice also then: otherwise requests would be run that arrived after its end.
 func (s *Server) notifyAdmissionOfDrain() {
 	if s.admission != nil && s.shutdownDeadline < noDeadline {
-		s.admission.Drain(max(0, s.shutdownDeadline-s.now))
+		s.admission.DrainSince(s.now-s.noticedAt, max(0, s.shutdownDeadline-s.now))
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -88,6 +88,7 @@
 
 	// The life of the process.
 	phase            phase
+	noticedAt        timeunit.Ticks // when the notice to shut down came; valid after it
 	shutdownDeadline timeunit.Ticks // when everything must be answered; noDeadline before the notice to shut down
 	ended            bool           // the loop is to end
 
