All is answered 0.4 s before the kill: the notice may have been sent earlier than seen

The delay lies before the process. Change: 0.4 s are set aside (a quarter of stop_ms at most), and what late timers show on top; the grace is shortened alike. Answers of the last moment are the exception then: nothing in the process can show a notice sent late, so room for it must always be there.

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -2,8 +2,18 @@
 
 import "thistlequay/timeunit"
 
-// shutdownMargin is the part of the time to the end that the end of the process itself may take.
-const shutdownMargin = second / 10
+// The platform counts the time to the kill from when it sends the notice, this process from when it handles it. What can
+// lie between is set aside, within a part of the whole.
+const (
+	// maxUnseenNoticeDelay is how late a notice may come that nothing in the process shows: a busy platform sends it late.
+	maxUnseenNoticeDelay = 3 * second / 10
+
+	// processEndTime is what the end of the process itself may take, after the last answer.
+	processEndTime = second / 10
+
+	// setAsideDivisor: what is set aside for a delay takes at most one part in so many of the time it is taken from.
+	setAsideDivisor = 4
+)
 
 // phase is where the process is in its life. It only moves forward. What health checks hear and what becomes of
 // connections goes by it.
@@ -27,10 +37,15 @@
 	if s.shutdownDeadline < noDeadline {
 		return
 	}
-	timeLeft := max(0, s.config.ShutdownTimeout-min(shutdownMargin, s.config.ShutdownTimeout/4))
+	timeout := s.config.ShutdownTimeout
+	grace := s.config.Settings.DrainGrace
+	late := s.measuredNoticeDelay()
+	unseen := min(maxUnseenNoticeDelay+processEndTime, timeout/setAsideDivisor)
+	timeLeft := max(0, timeout-late-unseen)
 	s.log.Event("shutting_down").Str("name", s.config.Name).Int64("within_ms", timeLeft.Milliseconds()).
-		Int("requests", s.requests.count()).Send()
-	s.noticedAt = s.now
+		Int("requests", s.requests.count()).Int64("notice_late_ms", late.Milliseconds()).Send()
+	s.killedAt = s.now + timeout - late
+	s.noticedAt = s.now - late - min(maxUnseenNoticeDelay, grace/setAsideDivisor)
 	s.shutdownDeadline = s.now + timeLeft
 	s.advancePhase(phaseDraining)
 	for _, optional := range s.parts { // before anything is rejected for it
@@ -41,6 +56,17 @@
 	s.scheduleEnd(timeLeft)
 }
 
+// measuredNoticeDelay returns how late the notice may be by what the process has measured of its own lateness: a timer
+// that is overdue at this moment, or was late just before, shows that the process stood still or was kept waiting, and
+// the notice may have waited as long.
+func (s *Server) measuredNoticeDelay() timeunit.Ticks {
+	late := s.lateness.peak(s.now)
+	if len(s.deadlines) > 0 {
+		late = max(late, s.now-s.deadlines[0].deadline)
+	}
+	return min(late, s.config.ShutdownTimeout/setAsideDivisor)
+}
+
 // scheduleEnd sets the timers for the last two phases.
 func (s *Server) scheduleEnd(timeLeft timeunit.Ticks) {
 	// What is after the grace period; half of it goes to the ends of connections.
@@ -52,7 +78,7 @@
 	s.setTimer(&timer{fire: closeIdle}, s.shutdownDeadline-afterGrace/2)
 	// The batch in which the deadline comes is dispatched before anything ends: when the loop is late, that answers
 	// what is due.
-	stop := func() { s.stop((s.config.ShutdownTimeout - timeLeft) / 2) }
+	stop := func() { s.stop(min(processEndTime, s.config.ShutdownTimeout/setAsideDivisor) / 2) }
 	s.setTimer(&timer{fire: func() { s.setTimer(&timer{fire: stop}, s.now+1) }}, s.shutdownDeadline)
 }
 
@@ -77,6 +103,6 @@
 
 func (s *Server) stopLoop() {
 	s.log.Event("ended").Str("name", s.config.Name).Int("requests", s.requests.count()).
-		Int("broken_invariants", s.brokenInvariants).Send()
+		Int("broken_invariants", s.brokenInvariants).Int64("before_kill_ms", (s.killedAt - s.now).Milliseconds()).Send()
 	s.ended = true
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -63,6 +63,7 @@
 	armedFor      timeunit.Ticks // that systemTimer is set for, or noDeadline
 	standstill    standstillState
 	timerLateness lagHistogram
+	lateness      peakLateness
 
 	// Output. pendingWrites are the connections with output for the end of the batch.
 	endBatchQueued    bool
@@ -88,7 +89,8 @@
 
 	// The life of the process.
 	phase            phase
-	noticedAt        timeunit.Ticks // when the notice to shut down came; valid after it
+	noticedAt        timeunit.Ticks // when the notice to shut down was sent at the earliest; valid after it
+	killedAt         timeunit.Ticks // when the kill comes, by what was measured of the notice; valid after it
 	shutdownDeadline timeunit.Ticks // when everything must be answered; noDeadline before the notice to shut down
 	ended            bool           // the loop is to end
 
--- a/internal/server/timers.go
+++ b/internal/server/timers.go
@@ -64,7 +64,9 @@
 		return
 	}
 	if len(s.deadlines) > 0 {
-		s.timerLateness.add(s.now - s.deadlines[0].deadline)
+		late := s.now - s.deadlines[0].deadline
+		s.timerLateness.add(late)
+		s.lateness.add(s.now, late)
 	}
 	for len(s.deadlines) > 0 && s.deadlines[0].deadline <= s.now {
 		heap.Pop(&s.deadlines).(*timer).fire()
