New connections are refused before the end of a drain and none is reset

Cause: gnet closes its listener only with its loop, and the system resets what it has connected and the loop has not accepted. Change: in phase closing the listener is bound to an interface that does not exist; the system then refuses new connections, and the loop accepts what is in the handshake. By the protocol a refused connection proves that nothing ran.

--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -27,7 +27,8 @@
 
 // OnBoot connects to the own listener, as only a connection tells which loop there is, and does so until one has been
 // accepted: when many routers wait already, the first attempts may be refused.
-func (s *Server) OnBoot(gnet.Engine) gnet.Action {
+func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
 	go func() {
 		ticker := time.NewTicker(selfConnectInterval)
 		defer ticker.Stop()
--- a/internal/server/kill_socket_test.go
+++ b/internal/server/kill_socket_test.go
@@ -126,8 +126,7 @@
 func (c *crowd) start() {
 	for client := range crowdClients {
 		c.clients.Go(func() {
-			for c.connect(client%2 == 0) {
-				c.opened.Add(1)
+			for c.connect(client%2 == 0) { // until the program has ended
 			}
 		})
 	}
@@ -150,6 +149,7 @@
 		c.reset.Add(1)
 		return true
 	}
+	c.opened.Add(1)
 	defer servertest.CloseQuietly(link)
 	if sends {
 		request := emulator.FastCGIRequest(1, "/rpc/look", "b", servertest.RequestParameters("00000000000000aa"))
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -73,6 +73,7 @@
 	afterGrace := max(timeLeft-s.config.Settings.DrainGrace, timeLeft/4)
 	closeIdle := func() {
 		s.advancePhase(phaseClosing)
+		s.refuseNewConnections()
 		s.routers.closeAllIdle()
 	}
 	s.setTimer(&timer{fire: closeIdle}, s.shutdownDeadline-afterGrace/2)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -51,6 +51,7 @@
 	random *rand.Rand
 
 	// The event loop. It is nil until the first connection tells which it is; loopKnown is closed then.
+	engine    gnet.Engine // valid once the loop runs
 	loop      gnet.EventLoop
 	loopKnown chan struct{}
 	commands  chan func() // from outside the loop
