Calls abandoned long ago no longer hold the quota of an idle server

Callers saw: the server that got all load had a third of the total for as long as the others were idle, as these held leases. Cause: abandoned calls were dropped from the count only when the next call was made or ended (admission/downstream.go); a server without load reported them as in use for good, and its leases were renewed for them. Change: DownstreamCalls and Stats count as of now. No decision used the stale count.

--- a/admission/downstream.go
+++ b/admission/downstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"thistlequay/timeunit"
 )
@@ -46,9 +47,6 @@
 	}
 }
 
-// inFlightAndAbandoned is the number of calls that the dependency works on.
-func (d *downstream) inFlightAndAbandoned() int { return d.inFlight + len(d.abandoned) }
-
 // isSlow says that calls take much longer of late than quick ones do.
 func (d *downstream) isSlow() bool {
 	return d.recentTime > slowCallFactor*float64(d.quickTimes.quantile(quickCallQuantile))
@@ -65,9 +63,7 @@
 // allowedUntil is until when another call may be in flight; now or earlier means not at all. withEffects says
 // that the call must not be abandoned. It brings the credit up to date.
 func (d *downstream) allowedUntil(now timeunit.Ticks, withEffects bool) timeunit.Ticks {
-	for len(d.abandoned) > 0 && d.abandoned[0] <= now {
-		d.abandoned = d.abandoned[1:]
-	}
+	d.abandoned = d.abandoned[len(d.abandoned)-d.countAbandoned(now):]
 	inFlight := float64(d.inFlight + len(d.abandoned))
 	d.credit = min(d.credit+(d.limit-inFlight)*float64(now-d.updatedAt), d.limit*d.window*smoothing/2)
 	d.updatedAt = now
@@ -81,6 +77,12 @@
 	return d.turns.until(now, d, withEffects)
 }
 
+// countAbandoned is the number of abandoned calls that still count.
+func (d *downstream) countAbandoned(now timeunit.Ticks) int {
+	ended, _ := slices.BinarySearch(d.abandoned, now+1)
+	return len(d.abandoned) - ended
+}
+
 // finish takes a call out of those in flight. An abandoned one still counts for a while.
 func (d *downstream) finish(now timeunit.Ticks, abandoned bool) {
 	d.allowedUntil(now, false) // for the credit: up to now the call was in flight
@@ -105,6 +107,9 @@
 
 // DownstreamCalls is the number of calls that the dependency works on, abandoned ones included, and
 // the number of requests that wait to call it.
+//
+// A server that makes no calls any more must not go on counting those that it abandoned: its quota would stay leased
+// for calls that ended long ago.
 func (s *Server) DownstreamCalls() (inFlight, waiting int) {
-	return s.downstream.inFlightAndAbandoned(), len(s.downstream.waiting)
+	return s.downstream.inFlight + s.downstream.countAbandoned(s.now), len(s.downstream.waiting)
 }
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -47,7 +47,7 @@
 		Running:          s.limiter.inFlight,
 		WaitingAtCalls:   s.cores.runsAtCalls,
 		CallsInFlight:    s.downstream.inFlight,
-		AbandonedCalls:   len(s.downstream.abandoned),
+		AbandonedCalls:   s.downstream.countAbandoned(s.now),
 		Entries:          s.entries.count,
 		Limit:            s.limiter.limit,
 		DownstreamLimit:  s.downstream.limit,
