Soak: seeded runs over processes, with clients that send until a kill at stop_ms

Cause: no test kept connections in use until the kill, nor killed at the earliest moment the protocol allows. Change: internal/soak draws a plan from a seed (1 to 4 servers, subsystems, signals in series, pauses, crashes with restart, crowds, the index slow, failing or silent, the directory away), plays it and checks: answered, twice, late, run twice, run after the grace, resets, killed, exit code, logs, ready. A test of the checker spoils one thing for each check. Not in it yet: quotas and leases, partitions, SIGTERM before the interpreter is up, memory and descriptors over runs.

--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// goodObservation is what a run without a violation leaves: one process that was drained, and one request to it.
+func goodObservation() *Observation {
+	start := time.Unix(1_764_000_000, 0)
+	process := &Process{
+		Server:    "n00",
+		StartedAt: start,
+		ReadyAt:   start.Add(time.Second),
+		NoticeAt:  start.Add(5 * time.Second),
+		ExitedAt:  start.Add(6 * time.Second),
+		Log:       "event=ended broken_invariants=0",
+	}
+	request := &Request{
+		ID:         "1",
+		Process:    process,
+		ReceivedAt: start.Add(4 * time.Second),
+		WrittenAt:  start.Add(4 * time.Second),
+		Budget:     time.Second,
+		Answers:    []time.Time{start.Add(4500 * time.Millisecond)},
+		Runs:       1,
+	}
+	return &Observation{
+		Plan:      Plan{StopTimeout: 2 * time.Second, Grace: 300 * time.Millisecond},
+		Processes: []*Process{process},
+		Requests:  []*Request{request},
+	}
+}
+
+// Each check reports the one thing that is wrong, and nothing else is reported.
+func TestEachCheckReportsItsViolation(t *testing.T) {
+	require.Empty(t, Check(goodObservation()))
+	for check, spoil := range map[string]func(o *Observation, process *Process, request *Request){
+		CheckUnanswered: func(_ *Observation, _ *Process, request *Request) {
+			request.Answers = nil
+			request.ClosedAt = request.WrittenAt.Add(slack + time.Millisecond)
+		},
+		CheckDuplicate: func(_ *Observation, _ *Process, request *Request) {
+			request.Answers = append(request.Answers, request.Answers[0])
+		},
+		CheckLate: func(_ *Observation, _ *Process, request *Request) {
+			request.Answers[0] = request.ReceivedAt.Add(request.Budget + slack + time.Millisecond)
+		},
+		CheckRanTwice: func(_ *Observation, _ *Process, request *Request) { request.Runs = 2 },
+		CheckRanAfterGrace: func(o *Observation, process *Process, request *Request) {
+			request.ReceivedAt = process.NoticeAt.Add(o.Plan.Grace + slack + time.Millisecond)
+		},
+		CheckReset: func(o *Observation, process *Process, _ *Request) {
+			o.addReset(Reset{process, process.NoticeAt, "a read"})
+		},
+		CheckKilled:   func(_ *Observation, process *Process, _ *Request) { process.Killed = true },
+		CheckExitCode: func(_ *Observation, process *Process, _ *Request) { process.ExitCode = 1 },
+		CheckLog:      func(_ *Observation, process *Process, _ *Request) { process.Log += "WARNING: DATA RACE" },
+		CheckReady:    func(_ *Observation, process *Process, _ *Request) { process.ReadyAt = time.Time{} },
+		CheckNothingToCheck: func(o *Observation, _ *Process, _ *Request) {
+			o.Requests = nil
+		},
+	} {
+		observation := goodObservation()
+		spoil(observation, observation.Processes[0], observation.Requests[0])
+		violations := Check(observation)
+		require.Len(t, violations, 1, check)
+		require.Equal(t, check, violations[0].Check)
+	}
+}
+
+// A request that ran and has no answer is lost, however close to the end of its connection it was written.
+func TestRequestThatRanIsLostAlsoIfItCrossedTheClose(t *testing.T) {
+	observation := goodObservation()
+	request := observation.Requests[0]
+	request.Answers = nil
+	request.ClosedAt = request.WrittenAt
+	require.Len(t, Check(observation), 1)
+	request.Runs = 0
+	ran := &Request{ID: "2", Process: request.Process, Answers: []time.Time{request.WrittenAt}, Runs: 1,
+		ReceivedAt: request.ReceivedAt}
+	observation.Requests = append(observation.Requests, ran)
+	require.Empty(t, Check(observation))
+	request.ClosedAt = time.Time{}
+	require.Len(t, Check(observation), 1, "the connection never ended")
+	request.Process.CrashedAt = request.WrittenAt
+	require.Empty(t, Check(observation), "lost with its process")
+}
+
+// An answer is late by no more than the pause of its process where it was open in it.
+func TestPauseOfTheProcessDoesNotCountAgainstIt(t *testing.T) {
+	observation := goodObservation()
+	request := observation.Requests[0]
+	process := request.Process
+	process.Pause = 200 * time.Millisecond
+	process.NoticeAt = request.ReceivedAt.Add(request.Budget / 2)
+	request.Answers[0] = request.ReceivedAt.Add(request.Budget + slack + process.Pause)
+	require.Empty(t, Check(observation))
+	request.Answers[0] = request.Answers[0].Add(time.Millisecond)
+	require.Len(t, Check(observation), 1)
+	request.Answers[0] = request.ReceivedAt.Add(request.Budget + slack + time.Millisecond)
+	process.NoticeAt = request.Answers[0]
+	require.Len(t, Check(observation), 1, "it was due before the pause")
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,219 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"sync"
+	"syscall"
+	"time"
+
+	"thistlequay/internal/emulator"
+)
+
+// How clients behave.
+const (
+	maxThinkTime  = 30 * time.Millisecond // between two requests of a client
+	halfPause     = 60 * time.Millisecond // between the halves of a request that is sent in two
+	redialPause   = 2 * time.Millisecond  // after a dial that was refused
+	restTime      = 400 * time.Millisecond
+	minBudget     = 200 * time.Millisecond
+	maxBudget     = 1500 * time.Millisecond
+	maxWorkMs     = 30
+	maxOpen       = 8 // requests that a client has open on its connection
+	crowdStay     = 20 * time.Millisecond
+	tenant        = "acme"
+	crowdClients  = 24
+	behaviours    = 4
+	keyedFraction = 0.3
+)
+
+// client keeps a connection to one server and sends on it until the server ends it, again and again until the server's
+// last process has ended.
+type client struct {
+	run    *run
+	target *target
+	random *rand.Rand
+	number int
+	sent   int
+}
+
+// connection is one connection of a client.
+type connection struct {
+	*emulator.Link
+	client  *client
+	process *Process
+
+	lock    sync.Mutex
+	open    map[uint16]*Request
+	endRead bool          // its end
+	ended   chan struct{} // closed once its end was read
+}
+
+func (c *client) loop() {
+	for !c.target.isOver() {
+		c.connect()
+	}
+}
+
+// connect opens a connection and sends on it until it ends.
+func (c *client) connect() {
+	process := c.target.current()
+	link, err := emulator.Dial(c.target.server.RouterAddress)
+	if err != nil {
+		c.run.recordReset(process, err, "a dial")
+		time.Sleep(redialPause)
+		return
+	}
+	connection := &connection{
+		Link:    link,
+		client:  c,
+		process: process,
+		open:    map[uint16]*Request{},
+		ended:   make(chan struct{}),
+	}
+	go connection.read()
+	for slot := uint16(1); connection.isOpen(); slot = slot%0xfff0 + 1 {
+		if !connection.sendNext(slot) {
+			break
+		}
+	}
+	<-connection.ended
+	_ = link.Close() // the program has closed its side
+}
+
+func (c *connection) isOpen() bool {
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// wait waits for a time or for the end of the connection.
+func (c *connection) wait(duration time.Duration) {
+	select {
+	case <-c.ended:
+	case <-time.After(duration):
+	}
+}
+
+// sendNext sends one request, in one of several ways. It returns false once nothing can be written any more.
+func (c *connection) sendNext(slot uint16) bool {
+	random := c.client.random
+	for c.openCount() >= maxOpen && c.isOpen() {
+		c.wait(redialPause)
+	}
+	switch random.Intn(behaviours) {
+	case 0:
+		c.wait(restTime)
+	case 1:
+		c.wait(time.Duration(random.Int63n(int64(maxThinkTime))))
+	}
+	request, data := c.newRequest(slot)
+	if random.Intn(behaviours) == 0 {
+		half := len(data) / 2
+		if _, err := c.Write(data[:half]); err != nil {
+			return false
+		}
+		data = data[half:]
+		c.wait(halfPause)
+	}
+	return c.writeLast(slot, request, data)
+}
+
+// writeLast writes the rest of a request, from which on an answer to it is owed. Once the end of the connection has been
+// read nothing is written any more.
+func (c *connection) writeLast(slot uint16, request *Request, data []byte) bool {
+	c.lock.Lock()
+	if c.endRead {
+		c.lock.Unlock()
+		return false
+	}
+	c.open[slot] = request
+	c.lock.Unlock()
+	request.WrittenAt = time.Now()
+	_, err := c.Write(data)
+	if err != nil {
+		c.lock.Lock()
+		delete(c.open, slot)
+		c.lock.Unlock()
+		return false
+	}
+	c.client.run.observation.addRequest(request)
+	return true
+}
+
+func (c *connection) openCount() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return len(c.open)
+}
+
+func (c *connection) newRequest(slot uint16) (*Request, []byte) {
+	client := c.client
+	random := client.random
+	client.sent++
+	id := fmt.Sprintf("%04x%04x%08x", client.target.server.Index, client.number, client.sent)
+	budget := minBudget + time.Duration(random.Int63n(int64(maxBudget-minBudget)))
+	parameters := emulator.RequestParameters(id, tenant, budget)
+	category := "look"
+	if random.Float64() < keyedFraction {
+		category = "book"
+		parameters["HTTP_ONCE_KEY"] = id + id
+	}
+	body := fmt.Sprintf("%d %s", 1+random.Intn(maxWorkMs), id)
+	request := &Request{ID: id, Process: c.process, ReceivedAt: time.Now(), Budget: budget}
+	return request, emulator.FastCGIRequest(slot, "/rpc/"+category, body, parameters)
+}
+
+// read reads responses until the connection ends.
+func (c *connection) read() {
+	defer close(c.ended)
+	for {
+		response, err := c.ReadResponse()
+		now := time.Now()
+		if err != nil {
+			c.client.run.recordReset(c.process, err, "a read")
+			c.lock.Lock()
+			c.endRead = true
+			c.client.run.observation.setClosed(c.open, now)
+			c.lock.Unlock()
+			return
+		}
+		c.lock.Lock()
+		request := c.open[response.Slot]
+		delete(c.open, response.Slot)
+		c.lock.Unlock()
+		if request == nil {
+			c.client.run.recordUnexpected(c.process, now)
+			continue
+		}
+		c.client.run.observation.addAnswer(request, now)
+		c.client.run.ended(c.client.target, request)
+	}
+}
+
+// crowd opens connections one after the other until the server's last process has ended.
+func (c *client) crowd() {
+	for !c.target.isOver() {
+		process := c.target.current()
+		link, err := emulator.Dial(c.target.server.RouterAddress)
+		if err != nil {
+			c.run.recordReset(process, err, "a dial of the crowd")
+			time.Sleep(redialPause)
+			continue
+		}
+		_ = link.SetReadDeadline(time.Now().Add(crowdStay))
+		_, err = link.ReadResponse()
+		c.run.recordReset(process, err, "a read of the crowd")
+		_ = link.Close() // it carries nothing
+	}
+}
+
+// isReset says whether a connection ended in a way that no client expects.
+func isReset(err error) bool {
+	return err != nil && !errors.Is(err, io.EOF) && errors.Is(err, syscall.ECONNRESET)
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,320 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"thistlequay/internal/clustertest"
+	"thistlequay/internal/emulator"
+	"thistlequay/internal/servertest"
+)
+
+// Options say with what a plan is played.
+type Options struct {
+	// Program is the path of the program, Env is added to its environment.
+	Program string
+	Env     []string
+	// Directory is an empty folder for the servers' files.
+	Directory string
+}
+
+// run is a plan that is being played.
+type run struct {
+	plan        Plan
+	observation *Observation
+	cluster     *clustertest.Cluster
+	targets     []*target
+	servingAt   time.Time
+}
+
+// target is one server of a run, with the process that it has now.
+type target struct {
+	server *clustertest.Server
+	plan   ServerPlan
+
+	lock    sync.Mutex
+	process *Process
+	logFrom int // where the log of the process begins
+	over    bool
+}
+
+func (t *target) current() *Process {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.process
+}
+
+func (t *target) isOver() bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.over
+}
+
+// Play plays a plan and returns what was observed. An error says that the run itself failed.
+func Play(plan Plan, options Options) (*Observation, error) {
+	cluster, err := newCluster(plan, options)
+	if err != nil {
+		return nil, err
+	}
+	defer cluster.Close()
+	r := &run{plan: plan, observation: &Observation{Plan: plan}, cluster: cluster}
+	for i, server := range cluster.Servers {
+		r.targets = append(r.targets, &target{server: server, plan: plan.Servers[i]})
+	}
+	if err := r.startAll(); err != nil {
+		return nil, err
+	}
+	stopWatching := r.watchLateness()
+	r.playAll()
+	stopWatching()
+	r.countRuns()
+	return r.observation, nil
+}
+
+// newCluster makes the servers and emulators of a plan.
+func newCluster(plan Plan, options Options) (*clustertest.Cluster, error) {
+	var settings map[string]any
+	if err := json.Unmarshal([]byte(servertest.PlatformSettings), &settings); err != nil {
+		return nil, err
+	}
+	settings["Servers"] = len(plan.Servers)
+	settings["Rules"].(map[string]any)["DrainGrace"] = float64(plan.Grace.Milliseconds())
+	index, err := emulator.NewIndex()
+	if err != nil {
+		return nil, err
+	}
+	index.ReplyDelay = plan.IndexDelay
+	index.ReplyScript = func(n int) emulator.IndexReply { return plan.IndexReplies[n%len(plan.IndexReplies)] }
+	config := clustertest.Config{
+		ServerCount:   len(plan.Servers),
+		Seed:          plan.Seed,
+		WorkDirectory: options.Directory,
+		Program:       options.Program,
+		Env:           options.Env,
+		Settings:      settings,
+		Cores:         2,
+		Gossip:        plan.Gossip,
+		StopTimeout:   plan.StopTimeout,
+		Index:         index,
+		ServiceYAML:   func(server *clustertest.Server) string { return serviceYAML(plan, options, server) },
+	}
+	cluster, err := clustertest.New(config)
+	if err != nil {
+		return nil, err
+	}
+	for _, server := range cluster.Servers {
+		server.Interpreter.CallProbability = plan.CallProbability
+	}
+	if plan.DirectoryAway {
+		err = cluster.Directory.Listener.Listener.Close()
+	}
+	return cluster, err
+}
+
+// serviceYAML returns the sections of the optional subsystems that are on.
+func serviceYAML(plan Plan, options Options, server *clustertest.Server) string {
+	var text strings.Builder
+	if plan.FairQueues {
+		text.WriteString("fair_queues:\n")
+	}
+	if plan.Store {
+		fmt.Fprintf(&text, "store:\n  directory: %s\n", filepath.Join(options.Directory, "store-"+server.Name))
+	}
+	return text.String()
+}
+
+// startAll starts all servers and waits until they serve.
+func (r *run) startAll() error {
+	for _, target := range r.targets {
+		if r.plan.Store {
+			if err := os.MkdirAll(filepath.Join(r.cluster.WorkDirectory, "store-"+target.server.Name), 0o700); err != nil {
+				return err
+			}
+		}
+		if err := r.start(target); err != nil {
+			return err
+		}
+	}
+	for _, target := range r.targets {
+		if err := r.waitUntilReady(target); err != nil {
+			return err
+		}
+	}
+	r.servingAt = time.Now()
+	return nil
+}
+
+// start starts a process of a server.
+func (r *run) start(target *target) error {
+	process := &Process{Server: target.server.Name, StartedAt: time.Now()}
+	target.lock.Lock()
+	target.process = process
+	target.logFrom = len(target.server.Log.String())
+	target.lock.Unlock()
+	r.observation.lock.Lock()
+	r.observation.Processes = append(r.observation.Processes, process)
+	r.observation.lock.Unlock()
+	return target.server.Start()
+}
+
+func (r *run) waitUntilReady(target *target) error {
+	process := target.current()
+	err := emulator.WaitUntilServing(target.server.RouterAddress)
+	if err != nil {
+		return fmt.Errorf("%w; its log:\n%s", err, target.server.Log)
+	}
+	process.ReadyAt = time.Now()
+	return nil
+}
+
+// playAll plays what happens to all servers, with their clients, and waits until all processes have ended.
+func (r *run) playAll() {
+	var all sync.WaitGroup
+	for _, target := range r.targets {
+		for number := range r.plan.ClientsPerServer {
+			all.Go(r.newClient(target, number).loop)
+		}
+		if r.plan.HasCrowd {
+			for number := range crowdClients {
+				all.Go(r.newClient(target, r.plan.ClientsPerServer+number).crowd)
+			}
+		}
+		all.Go(func() { r.playServer(target) })
+	}
+	all.Wait()
+}
+
+func (r *run) newClient(target *target, number int) *client {
+	seed := r.plan.Seed<<16 ^ int64(target.server.Index)<<8 ^ int64(number)
+	return &client{run: r, target: target, random: rand.New(rand.NewSource(seed)), number: number}
+}
+
+// playServer plays what happens to one server, from its start to the end of its last process.
+func (r *run) playServer(target *target) {
+	if target.plan.Crashes {
+		r.sleepUntil(r.servingAt.Add(target.plan.CrashAt))
+		r.crash(target)
+	}
+	r.sleepUntil(r.servingAt.Add(target.plan.NoticeAt))
+	r.shutDown(target)
+	target.lock.Lock()
+	target.over = true
+	target.lock.Unlock()
+}
+
+// crash kills a server's process without a notice and starts another.
+func (r *run) crash(target *target) {
+	process := target.current()
+	process.CrashedAt = time.Now()
+	_ = target.server.Kill() // a process that has ended before shows in its log
+	r.completeProcess(target, process)
+	if r.start(target) == nil {
+		_ = r.waitUntilReady(target) // ReadyAt says whether it was
+	}
+}
+
+// shutDown sends the signals of the plan around the notice, and the kill when it is due.
+func (r *run) shutDown(target *target) {
+	process := target.current()
+	server := target.server
+	signalAll := func(signals []syscall.Signal) {
+		for _, signal := range signals {
+			_ = server.Signal(signal) // it may have ended, which ExitCode shows
+		}
+	}
+	signalAll(target.plan.Before)
+	if target.plan.Pause > 0 {
+		_ = server.Signal(syscall.SIGSTOP)
+	}
+	process.Pause = target.plan.Pause
+	process.NoticeAt = time.Now()
+	_ = server.Signal(syscall.SIGTERM)
+	if target.plan.Pause > 0 {
+		r.sleepUntil(process.NoticeAt.Add(target.plan.Pause))
+		_ = server.Signal(syscall.SIGCONT)
+	}
+	signalAll(target.plan.After)
+	select {
+	case <-server.Exited():
+	case <-time.After(time.Until(process.NoticeAt.Add(r.plan.StopTimeout))):
+		process.Killed = true
+		_ = server.Kill()
+	}
+	process.ExitedAt = time.Now()
+	process.ExitCode = server.ExitCode()
+	r.completeProcess(target, process)
+}
+
+// completeProcess takes the log of a process that has ended.
+func (r *run) completeProcess(target *target, process *Process) {
+	process.Log = target.server.Log.String()[target.logFrom:]
+}
+
+// sleepUntil sleeps until a moment and records by how much it was late.
+func (r *run) sleepUntil(moment time.Time) {
+	time.Sleep(time.Until(moment))
+	r.observation.raiseLateness(time.Since(moment))
+}
+
+// lateWatchInterval is how often the run looks how late it is.
+const lateWatchInterval = 5 * time.Millisecond
+
+// watchLateness measures how late this process is, until the returned function is called.
+func (r *run) watchLateness() (stop func()) {
+	done := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		for {
+			next := time.Now().Add(lateWatchInterval)
+			select {
+			case <-done:
+				return
+			case <-time.After(lateWatchInterval):
+				r.observation.raiseLateness(time.Since(next))
+			}
+		}
+	})
+	return func() {
+		close(done)
+		watching.Wait()
+	}
+}
+
+// countRuns reads from the interpreters how often each request ran.
+func (r *run) countRuns() {
+	for _, target := range r.targets {
+		target.server.Interpreter.Inspect(func(interpreter *emulator.Interpreter) {
+			for _, request := range r.observation.Requests {
+				if request.Process.Server == target.server.Name {
+					request.Runs = interpreter.RunsByRequest[request.ID]
+				}
+			}
+		})
+	}
+}
+
+// ended tells the interpreter that a request is over.
+func (r *run) ended(target *target, request *Request) {
+	target.server.Interpreter.RequestEnded(request.ID)
+}
+
+// recordReset records the end of a connection where it was a reset.
+func (r *run) recordReset(process *Process, err error, during string) {
+	if isReset(err) {
+		r.observation.addReset(Reset{process, time.Now(), during})
+	}
+}
+
+// recordUnexpected records a response to no open request: a second one, or one to a request that was never sent.
+func (r *run) recordUnexpected(process *Process, at time.Time) {
+	request := &Request{ID: "a slot without an open request", Process: process, ReceivedAt: at, WrittenAt: at}
+	request.Answers = []time.Time{at, at}
+	r.observation.addRequest(request)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,92 @@
+package soak_test
+
+import (
+	"cmp"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/servertest"
+	"thistlequay/internal/soak"
+)
+
+func TestMain(m *testing.M) { servertest.Main(m) }
+
+const (
+	// firstSeedEnv and seedsEnv name the environment variables that choose the seeds by hand.
+	firstSeedEnv = "SOAK_FIRST"
+	seedsEnv     = "SOAK_SEEDS"
+	// programEnv names another build of the program to play with.
+	programEnv = "SOAK_PROGRAM"
+	// maxLogLines of a server's log are printed with a violation.
+	maxLogLines = 100
+)
+
+// seedsInCI are played where nothing is chosen: every subsystem, crashes, pauses and crowds are among them, and all seeds
+// that found something before.
+var seedsInCI = []int{1, 2, 3, 7, 12, 23, 32, 44}
+
+func fromEnv(t *testing.T, name string, otherwise int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	value, err := strconv.Atoi(text)
+	require.NoError(t, err, name)
+	return value
+}
+
+// TestSoak plays seeded runs over processes of the program. One seed again, or others:
+//
+//	SOAK_FIRST=17 SOAK_SEEDS=1 go test -run TestSoak ./internal/soak
+func TestSoak(t *testing.T) {
+	seeds := seedsInCI
+	if count := fromEnv(t, seedsEnv, 0); count > 0 {
+		first := fromEnv(t, firstSeedEnv, 1)
+		seeds = nil
+		for seed := first; seed < first+count; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { playSeed(t, int64(seed)) })
+	}
+}
+
+func playSeed(t *testing.T, seed int64) {
+	t.Helper()
+	program, err := os.Executable()
+	require.NoError(t, err)
+	program = cmp.Or(os.Getenv(programEnv), program)
+	plan := soak.Draw(seed)
+	observation, err := soak.Play(plan, soak.Options{
+		Program:   program,
+		Env:       []string{servertest.RunAsProgramEnv + "=1"},
+		Directory: t.TempDir(),
+	})
+	require.NoError(t, err)
+	violations := soak.Check(observation)
+	t.Logf("measured soak seed=%d servers=%d requests=%d lateness_ms=%d violations=%d", seed, len(plan.Servers),
+		len(observation.Requests), observation.Lateness.Milliseconds(), len(violations))
+	if len(violations) == 0 {
+		return
+	}
+	t.Logf("plan: %+v", plan)
+	t.Logf("again: %s=%d %s=1 go test -run TestSoak ./internal/soak", firstSeedEnv, seed, seedsEnv)
+	for _, violation := range violations {
+		t.Errorf("%s at %s: %s", violation.Check, violation.Server, violation.Detail)
+	}
+	for _, process := range observation.Processes {
+		lines := strings.Split(strings.TrimSpace(process.Log), "\n")
+		t.Logf("%s notice at %s, ended at %s:\n%s", process.Server, clock(process.NoticeAt), clock(process.ExitedAt),
+			strings.Join(lines[max(0, len(lines)-maxLogLines):], "\n"))
+	}
+}
+
+// clock is a moment as the program logs it.
+func clock(moment time.Time) string { return moment.UTC().Format("15:04:05.000000") }
