With peers the process ends before the kill: its last message takes what time is left

Cause: after the loop has ended gossip waits up to 0.5 s for memberlist's own message, then for goroutines that may wait for the answer to a ping, whatever is left until the kill. Change: CloseWithin takes for both what is left less the end of the process. Who misses the message knows by the member's state that it drained and counts it as left by probes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,7 +69,7 @@
 	go d.reloadOn(reload)
 	err = d.server.Run()
 	d.quota.close()
-	d.gossip.close()
+	d.gossip.close(d.server.TimeToKill())
 	if errors.Is(err, server.ErrLoopEnded) {
 		return logDiagnostics(d.log, "failed", err)
 	}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -21,10 +21,10 @@
 	onServer *server.Gossip
 }
 
-// close leaves the fleet and stops gossip, where it was started.
-func (g *gossipSubsystem) close() {
+// close leaves the cluster within timeout and stops gossip, where it was started.
+func (g *gossipSubsystem) close(timeout time.Duration) {
 	if g.node != nil {
-		g.node.Close()
+		g.node.CloseWithin(timeout)
 	}
 }
 
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -127,10 +127,33 @@
 
 // Close tells the others that this server leaves, stops the goroutines and waits for their end.
 func (n *Node) Close() {
-	_ = n.memberlist.Leave(leaveTimeout) // who misses it finds out by probes
+	n.leave(leaveTimeout)
+	n.goroutines.Wait()
+}
+
+// CloseWithin is Close for a process that ends within timeout: it takes no longer, and goroutines that still wait for an
+// answer of another server end with the process. Who misses the message finds the server gone by probes, and knows by
+// its state that it drained.
+func (n *Node) CloseWithin(timeout time.Duration) {
+	deadline := time.Now().Add(timeout)
+	n.leave(timeout)
+	ended := make(chan struct{})
+	go func() { // ends with the goroutines or with the process
+		n.goroutines.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Until(deadline)):
+	}
+}
+
+// leave tells the others for up to timeout and closes the sockets.
+func (n *Node) leave(timeout time.Duration) {
+	timeout = min(leaveTimeout, max(timeout, time.Millisecond)) // memberlist would wait without end for 0
+	_ = n.memberlist.Leave(timeout)                             // who misses it finds out by probes
 	close(n.done)
 	_ = n.memberlist.Shutdown() // it only fails to close what is closed
-	n.goroutines.Wait()
 }
 
 // LocalID returns the identity of this server.
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -1,6 +1,10 @@
 package server
 
-import "thistlequay/timeunit"
+import (
+	"time"
+
+	"thistlequay/timeunit"
+)
 
 // The platform counts the time to the kill from when it sends the notice, this process from when it handles it. What can
 // lie between is set aside, within a part of the whole.
@@ -102,6 +106,15 @@
 	s.recovery.close(timeout, func() { s.setTimer(&timer{fire: s.stopLoop}, s.now+timeout/2) })
 }
 
+// TimeToKill returns how long the end of the process may still take before the kill, once Run has returned: the whole
+// time for a shutdown where there was no notice, as no kill is to come.
+func (s *Server) TimeToKill() time.Duration {
+	if s.shutdownDeadline == noDeadline {
+		return s.config.ShutdownTimeout.Duration()
+	}
+	return (s.killedAt - s.clock.now() - processEndTime).Duration()
+}
+
 func (s *Server) stopLoop() {
 	s.log.Event("ended").Str("name", s.config.Name).Int("requests", s.requests.count()).
 		Int("broken_invariants", s.brokenInvariants).Int64("before_kill_ms", (s.killedAt - s.now).Milliseconds()).Send()
