--- a/admission/downstream_test.go
+++ b/admission/downstream_test.go
@@ -24,11 +24,11 @@
 	require.InDelta(t, fleetWideServers/8.0, server.feedback.fleetWideShare, 1e-9)
 }
 
-// What happened: one server got the whole load, and its lease stayed at a third of the total for as long as the others
-// were idle (TestQuotaIsNeverExceededAsClusterChanges failed at "large lease at one server" in 1 of 16 runs). Why: calls
-// that were abandoned counted until the next call was made or ended, for good where none was, and the idle servers had
-// their leases renewed for them. What showed it: abandoned_calls=4 in three event=state lines of an idle server, 20 s
-// apart, where an abandoned call counts for 0.2 s.
+// What happened: one server got the whole load, and its lease stayed at a third of the total for as long as the
+// others were idle (TestQuotaIsNeverExceededAsClusterChanges failed at "large lease at one server" in 1 of 16 runs).
+// Why: calls that were abandoned counted until the next call was made or ended, for good where none was, and the idle
+// servers had their leases renewed for them. What showed it: abandoned_calls=4 in three event=state lines of an idle
+// server, 20 s apart, where an abandoned call counts for 0.2 s.
 func TestAbandonedCallsOfAnIdleServerCeaseToCount(t *testing.T) {
 	const abandonedTime = 200
 	server := New(Config{Categories: []Category{{Weight: 1, SoftDeadline: 1000, Deadline: 2000}}, Cores: 2, Servers: 1,
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -131,9 +131,9 @@
 	n.goroutines.Wait()
 }
 
-// CloseWithin is Close for a process that ends within timeout: it takes no longer, and goroutines that still wait for an
-// answer of another server end with the process. Who misses the message finds the server gone by probes, and knows by
-// its state that it drained.
+// CloseWithin is Close for a process that ends within timeout: it takes no longer, and goroutines that still wait for
+// an answer of another server end with the process. Who misses the message finds the server gone by probes, and knows
+// by its state that it drained.
 func (n *Node) CloseWithin(timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
 	n.leave(timeout)
--- a/internal/membership/leave_test.go
+++ b/internal/membership/leave_test.go
@@ -17,8 +17,8 @@
 	maxLeaveGap timeunit.Milliseconds = 500         // between the first and the last that drains
 )
 
-// newRepeatableCluster is newCluster with a history, which has each seed play alike: without it a member that is ahead is
-// asked in the random order of a map.
+// newRepeatableCluster is newCluster with a history, which has each seed play alike: without it a member that is
+// ahead is asked in the random order of a map.
 func newRepeatableCluster(seed int64, servers int) *cluster {
 	c := newCluster(seed, servers)
 	c.history = golden.NewHistory()
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -6,10 +6,11 @@
 	"thistlequay/timeunit"
 )
 
-// The platform counts the time to the kill from when it sends the notice, this process from when it handles it. What can
-// lie between is set aside, within a part of the whole.
+// The platform counts the time to the kill from when it sends the notice, this process from when it handles it. What
+// can lie between is set aside, within a part of the whole.
 const (
-	// maxUnseenNoticeDelay is how late a notice may come that nothing in the process shows: a busy platform sends it late.
+	// maxUnseenNoticeDelay is how late a notice may come that nothing in the process shows: a busy platform sends it
+	// late.
 	maxUnseenNoticeDelay = 3 * second / 10
 
 	// processEndTime is what the end of the process itself may take, after the last answer.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 )
@@ -128,8 +127,10 @@
 }
 
 func (o *Observation) checkProcess(process *Process, report reporter) {
-	if mark := slices.IndexFunc(logMarks, func(mark string) bool { return strings.Contains(process.Log, mark) }); mark >= 0 {
-		report(CheckLog, process, "%s", logMarks[mark])
+	for _, mark := range logMarks {
+		if strings.Contains(process.Log, mark) {
+			report(CheckLog, process, "%s", mark)
+		}
 	}
 	if !process.CrashedAt.IsZero() {
 		return
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -124,8 +124,8 @@
 	return c.writeLast(slot, request, data)
 }
 
-// writeLast writes the rest of a request, from which on an answer to it is owed. Once the end of the connection has been
-// read nothing is written any more.
+// writeLast writes the rest of a request, from which on an answer to it is owed. Once the end of the connection has
+// been read nothing is written any more.
 func (c *connection) writeLast(slot uint16, request *Request, data []byte) bool {
 	c.lock.Lock()
 	if c.endRead {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -125,16 +125,23 @@
 		text.WriteString("fair_queues:\n")
 	}
 	if plan.Store {
-		fmt.Fprintf(&text, "store:\n  directory: %s\n", filepath.Join(options.Directory, "store-"+server.Name))
+		fmt.Fprintf(&text, "store:\n  directory: %s\n", storeDirectory(options.Directory, server))
 	}
 	return text.String()
 }
 
+// storeMode is the mode of the folder of a server's store.
+const storeMode = 0o700
+
+func storeDirectory(directory string, server *clustertest.Server) string {
+	return filepath.Join(directory, "store-"+server.Name)
+}
+
 // startAll starts all servers and waits until they serve.
 func (r *run) startAll() error {
 	for _, target := range r.targets {
 		if r.plan.Store {
-			if err := os.MkdirAll(filepath.Join(r.cluster.WorkDirectory, "store-"+target.server.Name), 0o700); err != nil {
+			if err := os.MkdirAll(storeDirectory(r.cluster.WorkDirectory, target.server), storeMode); err != nil {
 				return err
 			}
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,8 +26,8 @@
 	maxLogLines = 100
 )
 
-// seedsInCI are played where nothing is chosen: every subsystem, crashes, pauses and crowds are among them, and all seeds
-// that found something before.
+// seedsInCI are played where nothing is chosen: every subsystem, crashes, pauses and crowds are among them, and all
+// seeds that found something before.
 var seedsInCI = []int{1, 2, 3, 7, 12, 23, 32, 44}
 
 func fromEnv(t *testing.T, name string, otherwise int) int {
