--- a/ci_test.go
+++ b/ci_test.go
@@ -44,7 +44,7 @@
 		"an issue without number":  {red + "TestAlsoRed | seed 4 | another | issue\n", false, malformed},
 		"an empty line":            {red + "\n" + alsoRed, false, malformed},
 		"a pattern":                {"Test.* | seed 4 | all of them | issue 33\n", false, malformed},
-		"a name nothing has":       {bothRed + "TestGone | seed 4 | x | issue 34\n", false, "no test is named TestGone"},
+		"a name nothing has":       {bothRed + "TestGone | seed | x | issue 34\n", false, "no test is named TestGone"},
 		"a part of a name":         {bothRed + "TestGre | seed 4 | x | issue 34\n", false, "no test is named TestGre"},
 		"one that is green by now": {bothRed + "TestGreen | seed 4 | x | issue 34\n", true, "--- PASS: TestGreen"},
 	} {
