The reload test reloads what it changed after a rejected configuration

Change: it waits for the rejection, reloads a changed number of sockets and requires requires_restart=sockets and service after it.

--- a/internal/server/configuration_socket_test.go
+++ b/internal/server/configuration_socket_test.go
@@ -29,7 +29,6 @@
 	interpreter.SendAwait(id, "q")
 	oldIndex := server.IndexCall(id)
 	server.NextLink(server.Directory)
-	config := server.Config
 	server.Interpreter = moveEmulator(server, server.Interpreter)
 	server.Index = moveEmulator(server, server.Index)
 	server.Directory = moveEmulator(server, server.Directory)
@@ -46,13 +45,18 @@
 	server.Contains(server.ReadLine(index), "GET "+id)
 	moved.CompleteRun(router, 1, id, "a")
 
+	config := server.Config
 	server.Config = "{"
-	server.WriteFilesAndSignal()
-	server.Config = strings.Replace(config, `"sockets":64`, `"sockets":65`, 1)
+	server.Reload()
 	moved.ServeOne(router, 2, "goes on")
+	server.Config = config
+	server.ReplaceConfig(`"sockets":64`, `"sockets":65`)
+	server.Reload()
+	moved.ServeOne(router, 3, "goes on with what a restart would change")
 	server.Signal(syscall.SIGTERM)
 	_, log := server.WaitForExit()
 	server.Contains(log, "event=configuration_rejected reason=")
+	server.Contains(log, "requires_restart=sockets\n")
 }
 
 // startRejected starts the program with a configuration with which it must not start, and returns what it has logged.
