--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -49,7 +49,7 @@
 	s.log.Event("shutting_down").Str("name", s.config.Name).Int64("within_ms", timeLeft.Milliseconds()).
 		Int("requests", s.requests.count()).Int64("notice_late_ms", late.Milliseconds()).Send()
 	s.killedAt = s.now + timeout - late
-	s.noticedAt = s.now - late - maxUnseenNoticeDelay // of a short grace nothing may be left: what comes then is rejected
+	s.noticedAt = s.now - late - maxUnseenNoticeDelay // nothing may be left of a short grace: what comes is rejected
 	s.shutdownDeadline = s.now + timeLeft
 	s.advancePhase(phaseDraining)
 	for _, optional := range s.parts { // before anything is rejected for it
