--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -18,6 +18,9 @@
 
 	// setAsideDivisor: what is set aside for a delay takes at most one part in so many of the time it is taken from.
 	setAsideDivisor = 4
+
+	// graceDivisor is the same for the grace period: requests that cross the notice still run.
+	graceDivisor = 2
 )
 
 // phase is where the process is in its life. It only moves forward. What health checks hear and what becomes of
@@ -49,7 +52,7 @@
 	s.log.Event("shutting_down").Str("name", s.config.Name).Int64("within_ms", timeLeft.Milliseconds()).
 		Int("requests", s.requests.count()).Int64("notice_late_ms", late.Milliseconds()).Send()
 	s.killedAt = s.now + timeout - late
-	s.noticedAt = s.now - late - maxUnseenNoticeDelay // nothing may be left of a short grace: what comes is rejected
+	s.noticedAt = s.now - late - min(maxUnseenNoticeDelay, s.config.Settings.DrainGrace/graceDivisor)
 	s.shutdownDeadline = s.now + timeLeft
 	s.advancePhase(phaseDraining)
 	for _, optional := range s.parts { // before anything is rejected for it
