--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,6 +91,6 @@
 // clock is a moment as the program logs it.
 func clock(moment time.Time) string { return moment.UTC().Format("15:04:05.000000") }
 
-// A process that is stopped around its notice while no timer is due cannot measure that; with a grace period under 0.5 s
-// it then runs requests that arrive up to 0.1 s after the grace and its slack. Listed in KNOWN-RED.txt.
+// A process that is stopped around its notice while no timer is due cannot measure that; with a grace period under
+// 0.5 s it then runs requests that arrive up to 0.1 s after the grace and its slack. Listed in KNOWN-RED.txt.
 func TestSoakStopsThatNoTimerMeasures(t *testing.T) { playSeed(t, 243) }
