Soak: a crash excuses only answers that were not due before it

Cause: read again, the check let every unanswered request of a process that crashed later pass, also one that was due before; the test for a reset asked for the same thing twice. Change: the due time is compared with the crash, and a test holds it; one condition in isReset.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -115,7 +115,7 @@
 // mayBeUnanswered says whether a request without an answer was lost with a process that crashed, or crossed the close
 // of its connection and never ran.
 func (o *Observation) mayBeUnanswered(request *Request) bool {
-	if !request.Process.CrashedAt.IsZero() {
+	if request.Process.hasCrashedBefore(o.dueTime(request)) {
 		return true
 	}
 	hasCrossed := !request.ClosedAt.IsZero() && request.WrittenAt.After(request.ClosedAt.Add(-slack-o.Lateness))
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -87,6 +87,8 @@
 	require.Len(t, Check(observation), 1, "the connection never ended")
 	request.Process.CrashedAt = request.WrittenAt
 	require.Empty(t, Check(observation), "lost with its process")
+	request.Process.CrashedAt = request.ReceivedAt.Add(request.Budget + 2*slack)
+	require.Len(t, Check(observation), 1, "it was due before the crash")
 }
 
 // An answer is late by no more than the pause of its process where it was open in it.
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand"
 	"sync"
 	"syscall"
@@ -215,5 +214,5 @@
 
 // isReset says whether a connection ended in a way that no client expects.
 func isReset(err error) bool {
-	return err != nil && !errors.Is(err, io.EOF) && errors.Is(err, syscall.ECONNRESET)
+	return errors.Is(err, syscall.ECONNRESET)
 }
