--- a/ci_test.go
+++ b/ci_test.go
@@ -89,3 +89,46 @@
 	output, err := command.CombinedOutput()
 	return string(output), err
 }
+
+// TestKnownRedSubtestIsTheOnlyExceptionInCI checks that an entry for a subtest exempts that subtest alone: CI used to
+// pass over all seeds of a test if one of them was known to fail.
+func TestKnownRedSubtestIsTheOnlyExceptionInCI(t *testing.T) {
+	t.Parallel()
+	module := newScriptModule(t)
+	module.write("red_test.go", `package red
+
+import "testing"
+
+func TestSeeds(t *testing.T) {
+	t.Run("3", func(*testing.T) {})
+	t.Run("31", func(t *testing.T) { t.Fatal("as ever") })
+	t.Run("319", func(t *testing.T) { t.Fatal("too") })
+}
+
+func TestRed(t *testing.T) { t.Fatal("a whole test") }
+`)
+	const red = "TestRed | go test -run TestRed . (no seed) | an order that is open | issue 33\n"
+	const seed31 = "TestSeeds/31 | seed 31 | an order that is open | issue 33\n"
+	const seed319 = "TestSeeds/319 | seed 319 | another | issue 34\n"
+	const all = red + seed31 + seed319
+	const rest = " | a seed | another | issue 34\n"
+	for name, test := range map[string]struct {
+		list   string
+		passes bool
+		output string // expected substring of the script's output
+	}{
+		"all that fail are listed":     {all, true, "--- FAIL: TestSeeds/31 "},
+		"a subtest not listed":         {red + seed31, false, "--- FAIL: TestSeeds/319 "},
+		"the shorter name not listed":  {red + seed319, false, "--- FAIL: TestSeeds/31 "},
+		"a listed subtest passes":      {all + "TestSeeds/3" + rest, true, "--- PASS: TestSeeds/3 "},
+		"an unknown subtest":           {all + "TestSeeds/32" + rest, false, "no test is named TestSeeds/32"},
+		"a subtest of an unknown test": {all + "TestGone/3" + rest, false, "no test is named TestGone/3"},
+		"a subtest listed twice":       {all + seed31, false, "listed twice"},
+		"a pattern as a subtest":       {all + "TestSeeds/.*" + rest, false, "not \"TestName | command and seed"},
+	} {
+		module.write("KNOWN-RED.txt", test.list)
+		output, err := module.runScript()
+		require.Equal(t, test.passes, err == nil, "%s: %s", name, output)
+		require.Contains(t, output, test.output, name)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,7 +28,7 @@
 
 // seedsInCI are the default seeds. Together they cover every subsystem, crashes, pauses and connect-only clients, and
 // they include all seeds that found a fault before.
-var seedsInCI = []int{1, 2, 3, 7, 12, 23, 32, 44, 120}
+var seedsInCI = []int{1, 2, 3, 7, 12, 23, 32, 44, 120, 313, 319, 320}
 
 // intFromEnv returns the integer value of an environment variable, or defaultValue if the variable is empty.
 func intFromEnv(t *testing.T, name string, defaultValue int) int {
