A pause of an idle server is measured, so the shutdown notice is dated right

Cause: the age of a notice was judged by overdue timers of the event loop, and an idle loop has none for seconds. Change: a goroutine with a tick of 40 ms records how late its ticks were; the notice is at least as old as the longest pause of the last 2 s. Why it works: some tick is always due, so a pause shows up to 40 ms less than its length. Measured: TestNoticeDelayOfAnIdleServerIsMeasured failed before at all seven delays (0 ms measured for 60 to 260 ms, 12 and 61 for 310 and 360), now 70 of 70.

--- a/internal/server/kill_socket_test.go
+++ b/internal/server/kill_socket_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -89,6 +90,31 @@
 		delay.Milliseconds(), margin.Milliseconds())
 }
 
+// Guards against a pause of an idle server that no timer measures: the server dated the shutdown notice up to 0.3 s too
+// late, ran requests that arrived after the grace period, and did not exit before the kill.
+func TestNoticeDelayOfAnIdleServerIsMeasured(t *testing.T) {
+	const tolerance = 50 * time.Millisecond // of the routers, around the end of the grace period
+	for _, delay := range []time.Duration{60, 110, 160, 210, 260, 310, 360} {
+		t.Run(fmt.Sprintf("%dms", delay), func(t *testing.T) {
+			t.Parallel()
+			server, _ := servertest.StartWith(t, `"stop_ms":1500`, `"stop_ms":3000`)
+			server.ConnectRouter().ExpectHealth(1, 200)
+			server.Signal(syscall.SIGSTOP)
+			pausedAt := time.Now()
+			server.Signal(syscall.SIGTERM)
+			server.WaitUntilPast(pausedAt.Add(delay * time.Millisecond))
+			pause := time.Since(pausedAt)
+			server.Signal(syscall.SIGCONT)
+			_, log := server.WaitForExit()
+			event := regexp.MustCompile(`event=shutting_down .*notice_late_ms=(\d+)`).FindStringSubmatch(log)
+			require.Len(t, event, 2, log)
+			measured, err := time.ParseDuration(event[1] + "ms")
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, measured, pause-tolerance)
+		})
+	}
+}
+
 // The grace period starts at the notice to shut down. It used to start when the interpreter came up if that was later,
 // so requests that arrived after its end were run.
 func TestGracePeriodCountsFromTheNoticeThoughTheInterpreterIsLate(t *testing.T) {
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -67,11 +67,11 @@
 	s.scheduleStop(timeLeft)
 }
 
-// measuredNoticeDelay returns how long ago the shutdown notice may have been sent, judging by the lateness of timers.
-// If a timer is overdue now or was late recently, the process was stopped or delayed, and the notice may have waited
-// for as long.
+// measuredNoticeDelay returns how long ago the shutdown notice may have been sent, judging by the lateness of timers
+// and by the pause monitor. If a timer is overdue now or was late recently, the process was stopped or delayed, and the
+// notice may have waited for as long.
 func (s *Server) measuredNoticeDelay() timeunit.Ticks {
-	delay := s.peakLateness.peak(s.now)
+	delay := max(s.peakLateness.peak(s.now), s.pauseMonitor.recentPause())
 	if len(s.deadlines) > 0 {
 		delay = max(delay, s.now-s.deadlines[0].deadline)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -68,6 +68,7 @@
 	pauseState          pauseState
 	timerLateness       lagHistogram
 	peakLateness        peakLateness
+	pauseMonitor        pauseMonitor
 
 	// Output. pendingWrites holds the connections that are written at the end of the batch.
 	endBatchQueued    bool
@@ -143,6 +144,8 @@
 	if err := checkAddressFree(s.config.Listen); err != nil {
 		return err
 	}
+	stopMonitor := s.pauseMonitor.start()
+	defer stopMonitor()
 	err := gnet.Run(s, "tcp://"+s.config.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(bufferSize),
 		gnet.WithLogger(engineLog{s.log}))
