A late notice rejects queued requests that arrived after the grace period

Cause: Dispatch compares the arrival with the end of the grace period only in the batch in which a request is read. One that was queued before the server knew of the notice was started whenever the limit allowed (admission/drain.go). Change: DrainSince rejects queued requests that arrived after the grace period.

--- a/admission/drain.go
+++ b/admission/drain.go
@@ -43,4 +43,15 @@
 	}
 	heap.Init(&s.timers.heap)
 	s.host.SetHealth(false, true)
+	s.rejectQueuedAfterGracePeriod()
+}
+
+// rejectQueuedAfterGracePeriod rejects the queued requests that arrived after the grace period. There are some if the
+// notice was given longer ago than the grace period lasts.
+func (s *Server) rejectQueuedAfterGracePeriod() {
+	for _, request := range slices.Concat(s.queue.arrivals, s.timers.heap) {
+		if request.state == stateQueued && s.drain.isAfterGracePeriod(request.arrivedAt) {
+			s.reject(request, noDeadline, false)
+		}
+	}
 }
