After a long pause the server waits for a shutdown notice before it dispatches

Cause: a process that resumes reads its sockets at once, while the signal that was sent during the pause passes a handler and two goroutines before the loop hears of it; the batch of the sockets dispatched first. Evidence: the log of n03: SIGTERM 59.372, request received 59.640, shutting_down 59.651 with notice_late_ms=242, so the grace period was dated right and only the order was wrong. Change: after a pause of at least the grace period, timers and dispatch wait 20 ms. Only such a pause can hide a notice whose grace period is over. Pauses are recorded one by one, so that a long one before does not hide the last one.

--- a/internal/server/kill_socket_test.go
+++ b/internal/server/kill_socket_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -140,6 +141,31 @@
 	<-linkEnded
 }
 
+// Guards against requests that run because the server reads them before a shutdown notice that was sent long before
+// they arrived: after a pause, the sockets are readable at once, but the notice takes two goroutines to reach the loop.
+func TestRequestsOfAfterTheGracePeriodDoNotOvertakeTheNotice(t *testing.T) {
+	for attempt := range 24 {
+		t.Run(strconv.Itoa(attempt), func(t *testing.T) {
+			t.Parallel()
+			server, interpreter := servertest.Start(t)
+			router := server.ConnectRouter()
+			router.ExpectHealth(1, 200)
+			server.Signal(syscall.SIGSTOP)
+			server.Signal(syscall.SIGTERM)
+			server.WaitUntilPast(time.Now().Add(gracePeriodWithTolerance))
+			router.SendLook(2, "late")
+			server.Signal(syscall.SIGCONT)
+			linkEnded := handleLines(interpreter, func(line string) {
+				require.False(t, strings.Contains(line, `"APPLY"`), line)
+			})
+			_, status, _, _ := router.NextResponse()
+			server.Equal(503, status)
+			server.WaitForExit()
+			<-linkEnded
+		})
+	}
+}
+
 // connectingClients is a group of clients that open connections one after the other until the server has ended.
 type connectingClients struct {
 	server     *servertest.Server
--- a/internal/server/pause.go
+++ b/internal/server/pause.go
@@ -15,24 +15,50 @@
 	pauseSocketsRead                // the sockets have been read; late timers may fire
 )
 
-// deferAfterPause reports whether timers and dispatch must wait until the sockets have been read once more. If the
-// earliest timer is late by more than pauseThreshold, it assumes that there was a pause, begins the wait and schedules
-// resumeAfterPause, which ends the wait. The next endBatch then sets the state back to pauseNone; until it does, no
-// further pause is detected.
+// pendingNoticeTime is how long after a pause a shutdown notice that was sent during the pause may still be on its way
+// to the event loop: from the signal handler through two goroutines.
+const pendingNoticeTime = 20 * time.Millisecond
+
+// deferAfterPause reports whether timers and dispatch must wait until the sockets have been read once more. It detects
+// a pause, begins the wait and schedules resumeAfterPause, which ends the wait. The next endBatch then sets the state
+// back to pauseNone; until it does, no further pause is detected.
 //
 // Input that arrived during a pause, such as a result or a router's abort, must be handled before the late timers. The
 // loop may be paused between two batches or within one, so both fireTimers and endBatch call this method before they
 // act.
 func (s *Server) deferAfterPause() bool {
-	isLate := len(s.deadlines) > 0 && s.now-s.deadlines[0].deadline > pauseThreshold
-	if s.pauseState == pauseNone && isLate {
-		s.pauseState = pauseAwaitingSockets
-		// The task is submitted from outside the loop, so the loop polls the sockets before it runs the task.
-		time.AfterFunc(0, func() { s.submit(s.resumeAfterPause) })
+	if s.pauseState == pauseNone {
+		switch {
+		case s.noticeMayBePending():
+			s.awaitSockets(pendingNoticeTime)
+		case s.isTimerLate():
+			s.awaitSockets(0)
+		}
 	}
 	return s.pauseState == pauseAwaitingSockets
 }
 
+// isTimerLate reports whether the earliest timer is so late that there must have been a pause.
+func (s *Server) isTimerLate() bool {
+	return len(s.deadlines) > 0 && s.now-s.deadlines[0].deadline > pauseThreshold
+}
+
+// noticeMayBePending reports whether the process has just resumed from a pause that was longer than the grace period.
+// Requests that arrived after the grace period may then be read before a shutdown notice that preceded them.
+func (s *Server) noticeMayBePending() bool {
+	if s.phase >= phaseDraining {
+		return false
+	}
+	return s.pauseMonitor.pauseJustEnded(pendingNoticeTime) >= s.config.Settings.DrainGrace
+}
+
+// awaitSockets begins the wait for the sockets, which lasts at least for delay.
+func (s *Server) awaitSockets(delay time.Duration) {
+	s.pauseState = pauseAwaitingSockets
+	// The task is submitted from outside the loop, so the loop polls the sockets before it runs the task.
+	time.AfterFunc(delay, func() { s.submit(s.resumeAfterPause) })
+}
+
 // resumeAfterPause fires the late timers after the sockets have been read.
 func (s *Server) resumeAfterPause() {
 	s.pauseState = pauseSocketsRead
--- a/internal/server/pausemonitor.go
+++ b/internal/server/pausemonitor.go
@@ -25,11 +25,32 @@
 type pauseMonitor struct {
 	startedAt time.Time
 
-	// Times are durations since startedAt. nextTickAt is stored after the pause that the last tick measured, and read
-	// before it, so that a reader sees the pause either as recorded or as the lateness of the next tick.
-	nextTickAt     atomic.Int64 // latest time at which the next tick is due; 0 before run
-	longestPause   atomic.Int64 // longest of the recent pauses
-	longestPauseAt atomic.Int64 // when it ended
+	// nextTickAt is the latest time at which the next tick is due, since startedAt; 0 before run. It is stored after the
+	// pause that the last tick measured, and read before it, so that a reader sees the pause either as recorded or as
+	// the lateness of the next tick.
+	nextTickAt atomic.Int64
+	longest    recordedPause // longest pause within pauseMemory
+	last       recordedPause
+}
+
+// recordedPause is the length of a pause and when it ended, since the start of the monitor. The zero value is no pause.
+type recordedPause struct {
+	length  atomic.Int64
+	endedAt atomic.Int64
+}
+
+// store replaces the recorded pause.
+func (p *recordedPause) store(now, length time.Duration) {
+	p.length.Store(int64(length))
+	p.endedAt.Store(int64(now))
+}
+
+// within returns the length of the pause if it ended within maxAge before now, otherwise 0.
+func (p *recordedPause) within(now, maxAge time.Duration) time.Duration {
+	if now-time.Duration(p.endedAt.Load()) > maxAge {
+		return 0
+	}
+	return time.Duration(p.length.Load())
 }
 
 // start begins to monitor and returns a function that ends the monitor's goroutine.
@@ -57,30 +78,33 @@
 	}
 }
 
-// record records a pause that ended now, unless a longer one is still remembered. A negative length is no pause.
+// record records that a tick was late, which means that a pause of this length ends now. A negative length is no pause.
 func (m *pauseMonitor) record(now, length time.Duration) {
-	if length <= m.remembered(now) {
+	if length <= 0 {
 		return
 	}
-	m.longestPause.Store(int64(length))
-	m.longestPauseAt.Store(int64(now))
-}
-
-// remembered returns the length of the recorded pause if it ended within pauseMemory before now, otherwise 0.
-func (m *pauseMonitor) remembered(now time.Duration) time.Duration {
-	if now-time.Duration(m.longestPauseAt.Load()) > pauseMemory {
-		return 0
+	m.last.store(now, length)
+	if length > m.longest.within(now, pauseMemory) {
+		m.longest.store(now, length)
 	}
-	return time.Duration(m.longestPause.Load())
 }
 
-// recentPause returns the length of the longest recent pause, or 0 if there was none. It is at most
+// longestPause returns the length of the longest pause within pauseMemory, or 0 if there was none. It is at most
 // pauseMonitorInterval too short, and counts a pause that the monitor itself has not noticed yet.
-func (m *pauseMonitor) recentPause() timeunit.Ticks {
+func (m *pauseMonitor) longestPause() timeunit.Ticks { return m.pauseIn(&m.longest, pauseMemory) }
+
+// pauseJustEnded returns the length of a pause that ended within maxAge, or 0 if there was none. It is as precise as
+// longestPause.
+func (m *pauseMonitor) pauseJustEnded(maxAge time.Duration) timeunit.Ticks {
+	return m.pauseIn(&m.last, maxAge)
+}
+
+// pauseIn returns the length of the recorded pause or, if that is longer, of one that the next tick will record.
+func (m *pauseMonitor) pauseIn(recorded *recordedPause, maxAge time.Duration) timeunit.Ticks {
 	nextTickAt := time.Duration(m.nextTickAt.Load())
 	if nextTickAt == 0 {
 		return 0
 	}
 	now := time.Since(m.startedAt)
-	return timeunit.TicksOf(max(now-nextTickAt, m.remembered(now), 0))
+	return timeunit.TicksOf(max(now-nextTickAt, recorded.within(now, maxAge), 0))
 }
