The wait for a late notice begins above the grace period and its tolerance

Change: the pause must exceed the grace period and the 50 ms that routers tolerate, less the 40 ms by which it may be measured too short. Requests that must not run can be read first only after such a pause.

--- a/internal/server/pause.go
+++ b/internal/server/pause.go
@@ -1,6 +1,10 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"thistlequay/timeunit"
+)
 
 // pauseThreshold is the timer lateness above which the machine or the process is assumed to have been paused.
 const pauseThreshold = second / 50
@@ -15,6 +19,9 @@
 	pauseSocketsRead                // the sockets have been read; late timers may fire
 )
 
+// routerTolerance is how long after the grace period a request may still run, as routers measure it.
+const routerTolerance = 50 * time.Millisecond
+
 // pendingNoticeTime is how long after a pause a shutdown notice that was sent during the pause may still be on its way
 // to the event loop: from the signal handler through two goroutines.
 const pendingNoticeTime = 20 * time.Millisecond
@@ -43,13 +50,14 @@
 	return len(s.deadlines) > 0 && s.now-s.deadlines[0].deadline > pauseThreshold
 }
 
-// noticeMayBePending reports whether the process has just resumed from a pause that was longer than the grace period.
-// Requests that arrived after the grace period may then be read before a shutdown notice that preceded them.
+// noticeMayBePending reports whether the process has just resumed from a pause that may have been longer than the grace
+// period and routerTolerance. Requests that must not run may then be read before the shutdown notice.
 func (s *Server) noticeMayBePending() bool {
 	if s.phase >= phaseDraining {
 		return false
 	}
-	return s.pauseMonitor.pauseJustEnded(pendingNoticeTime) >= s.config.Settings.DrainGrace
+	shortestPause := s.config.Settings.DrainGrace + timeunit.TicksOf(routerTolerance-pauseMonitorInterval)
+	return s.pauseMonitor.pauseJustEnded(pendingNoticeTime) > shortestPause
 }
 
 // awaitSockets begins the wait for the sockets, which lasts at least for delay.
