The exit of a process no longer waits for its farewell to the other members

Cause: after event=ended gossip was given all of the time to the kill. memberlist's Leave waits until its message has gone out, with gossip that is sent every 200 ms, and the node then waited for pings of members that are gone. Change: the announcement starts 0.5 s before the shutdown deadline, beside the end of the drain; at the end only the sockets are closed, in 50 ms at most. 0.2 s are reserved for the exit (0.1 before), as an idle process's timers fire up to 16 ms late: it exits 0.1 s before the kill also if 0.3 s of lateness stay unmeasured. event=closed logs the steps after ended, and the soak logs the times from ended to the exit and to the kill. Why it works: nothing after ended waits for another process any more.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,8 +71,7 @@
 	go d.shutdownOn(shutdown)
 	go d.reloadOn(reload)
 	err = d.server.Run()
-	d.quota.close()
-	d.gossip.close(d.server.TimeToKill())
+	d.closeSubsystems()
 	if errors.Is(err, server.ErrLoopEnded) {
 		return logDiagnostics(d.log, "failed", err)
 	}
@@ -82,6 +81,16 @@
 	return nil
 }
 
+// closeSubsystems closes the subsystems that do not belong to the event loop, after its end, and logs how long each took.
+func (d *daemon) closeSubsystems() {
+	startedAt := time.Now()
+	d.quota.close()
+	quotaClosedAt := time.Now()
+	d.gossip.close(d.server.TimeToKill())
+	d.log.Event("closed").Int64("quota_ms", quotaClosedAt.Sub(startedAt).Milliseconds()).
+		Int64("gossip_ms", time.Since(quotaClosedAt).Milliseconds()).Send()
+}
+
 // shutdownOn starts a graceful shutdown when a signal arrives. Further signals have no effect. It runs until the
 // process ends.
 func (d *daemon) shutdownOn(signals <-chan os.Signal) {
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -21,10 +21,14 @@
 	serverGossip *server.Gossip
 }
 
-// close leaves the cluster within timeout and stops the node, if it was started.
-func (g *gossipSubsystem) close(timeout time.Duration) {
+// maxGossipCloseTime limits how long the end of the process waits for the gossip node. The server has announced its
+// leave before, so that only sockets remain to be closed.
+const maxGossipCloseTime = 50 * time.Millisecond
+
+// close stops the node within timeToKill and maxGossipCloseTime, if it was started.
+func (g *gossipSubsystem) close(timeToKill time.Duration) {
 	if g.node != nil {
-		g.node.CloseWithin(timeout)
+		g.node.CloseWithin(min(timeToKill, maxGossipCloseTime))
 	}
 }
 
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -21,9 +21,11 @@
 	"thistlequay/timeunit"
 )
 
+// LeaveTime is the longest time that the announcement of a leave takes.
+const LeaveTime = 500 * time.Millisecond
+
 const (
 	tickInterval   = 200 * time.Millisecond // between two ticks of the view
-	leaveTimeout   = 500 * time.Millisecond // for memberlist's announcement that this server leaves
 	inspectTimeout = time.Second            // how long Inspect waits for the worker
 )
 
@@ -44,6 +46,9 @@
 	goroutines  sync.WaitGroup
 	streamSlots chan struct{} // holds one element for each envelope being sent on a stream
 
+	leaveOnce      sync.Once
+	leaveAnnounced chan struct{} // closed once AnnounceLeave has made its announcement or given up
+
 	localState  atomic.Pointer[LocalState]
 	coordinator atomic.Pointer[CoordinatorIdentity]
 	privateKey  ed25519.PrivateKey // of this incarnation; generated at its start and never stored
@@ -101,12 +106,15 @@
 		config.Now = time.Now
 	}
 	n := &Node{
-		config:        config,
-		startedAt:     config.Now(),
-		tasks:         make(chan func(), maxQueuedTasks),
-		publishNow:    make(chan struct{}, 1),
-		done:          make(chan struct{}),
-		streamSlots:   make(chan struct{}, maxStreams),
+		config:      config,
+		startedAt:   config.Now(),
+		tasks:       make(chan func(), maxQueuedTasks),
+		publishNow:  make(chan struct{}, 1),
+		done:        make(chan struct{}),
+		streamSlots: make(chan struct{}, maxStreams),
+
+		leaveAnnounced: make(chan struct{}),
+
 		publicKeys:    map[membership.ID]ed25519.PublicKey{},
 		signedUpdates: map[membership.ID]signedMessage{},
 		joined:        map[membership.ID]bool{},
@@ -126,37 +134,47 @@
 	return n, err
 }
 
+// AnnounceLeave starts to announce to the other members that this server leaves, and returns at once. The node goes on
+// until it is closed. A server that shuts down calls it LeaveTime before it closes the node, so that the announcement
+// does not delay the exit of the process: memberlist sends it with the next packets of gossip, which are up to
+// LeaveTime apart.
+func (n *Node) AnnounceLeave() {
+	n.leaveOnce.Do(func() {
+		go func() { // ends within LeaveTime
+			defer close(n.leaveAnnounced)
+			_ = n.memberlist.Leave(LeaveTime) // members that miss it detect the leave by probes
+		}()
+	})
+}
+
 // Close announces to the other members that this server leaves, stops the goroutines and waits until they have ended.
 func (n *Node) Close() {
-	n.leave(leaveTimeout)
+	n.AnnounceLeave()
+	<-n.leaveAnnounced
+	close(n.done)
+	_ = n.memberlist.Shutdown() // an error only means that something was closed already
 	n.goroutines.Wait()
 }
 
-// CloseWithin is like Close but returns within timeout, for a process that is about to exit. Goroutines that still wait
-// for an answer of another server end with the process. A member that misses the announcement detects by probes that
-// this server is gone, and knows from its last state update that it was draining.
+// CloseWithin is like Close but returns within timeout, for a process that is about to exit. It waits only until the
+// announcement is made and the sockets are closed: goroutines that wait for an answer of another server end with the
+// process. A member that misses the announcement detects by probes that this server is gone, and knows from its last
+// state update that it was draining.
 func (n *Node) CloseWithin(timeout time.Duration) {
-	deadline := time.Now().Add(timeout)
-	n.leave(timeout)
-	ended := make(chan struct{})
-	go func() { // ends with the other goroutines or with the process
-		n.goroutines.Wait()
-		close(ended)
+	n.AnnounceLeave()
+	close(n.done)
+	closed := make(chan struct{})
+	go func() { // ends with the announcement or with the process
+		defer close(closed)
+		<-n.leaveAnnounced
+		_ = n.memberlist.Shutdown() // an error only means that something was closed already
 	}()
 	select {
-	case <-ended:
-	case <-time.After(time.Until(deadline)):
+	case <-closed:
+	case <-time.After(timeout):
 	}
 }
 
-// leave announces for up to timeout, and for at most leaveTimeout, that this server leaves. Then it closes the sockets.
-func (n *Node) leave(timeout time.Duration) {
-	timeout = min(leaveTimeout, max(timeout, time.Millisecond)) // for 0, memberlist would wait forever
-	_ = n.memberlist.Leave(timeout)                             // members that miss it detect the leave by probes
-	close(n.done)
-	_ = n.memberlist.Shutdown() // an error only means that something was closed already
-}
-
 // LocalID returns the identity of this incarnation of the server.
 func (n *Node) LocalID() membership.ID { return n.config.Membership.Self }
 
--- a/internal/server/gossip.go
+++ b/internal/server/gossip.go
@@ -102,7 +102,13 @@
 	p.onTimer()
 }
 
-func (p *gossipSubsystem) drain() { p.publish() }
+// drain publishes that this server drains. The announcement that it leaves is made beside the end of the drain, so that
+// the exit of the process does not wait for it.
+func (p *gossipSubsystem) drain() {
+	p.publish()
+	announcement := &timer{fire: p.server.config.Gossip.Node.AnnounceLeave}
+	p.server.setTimer(announcement, p.server.shutdownDeadline-timeunit.TicksOf(gossip.LeaveTime))
+}
 
 func (p *gossipSubsystem) onTimer() {
 	p.publish()
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -14,8 +14,9 @@
 	// because a busy platform sends the notice late.
 	maxUnseenNoticeDelay = 3 * second / 10
 
-	// processExitTime is the time reserved for the process to exit after its last response.
-	processExitTime = second / 10
+	// processExitTime is the time reserved for the process to exit after its last response. A quarter of it is for the
+	// recovery log to become durable and for the last bytes to be sent; the rest is for late timers.
+	processExitTime = second / 5
 
 	// noticeReserveDivisor limits each reserve to 1/noticeReserveDivisor of the shutdown timeout.
 	noticeReserveDivisor = 4
@@ -90,7 +91,7 @@
 	s.setTimer(&timer{fire: closeIdle}, s.shutdownDeadline-afterGrace/2)
 	// The server stops one batch after the shutdown deadline. If the loop is late, the batch of the deadline still
 	// answers the requests that are due.
-	stop := func() { s.stop(min(processExitTime, s.config.ShutdownTimeout/noticeReserveDivisor) / 2) }
+	stop := func() { s.stop(min(processExitTime, s.config.ShutdownTimeout/noticeReserveDivisor) / 4) }
 	s.setTimer(&timer{fire: func() { s.setTimer(&timer{fire: stop}, s.now+1) }}, s.shutdownDeadline)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -75,6 +75,7 @@
 	violations := soak.Check(observation)
 	t.Logf("measured soak seed=%d servers=%d requests=%d lateness_ms=%d violations=%d", seed, len(plan.Servers),
 		len(observation.Requests), observation.Lateness.Milliseconds(), len(violations))
+	logExitTimes(t, observation)
 	if len(violations) == 0 {
 		return
 	}
@@ -90,6 +91,23 @@
 	}
 }
 
+// logExitTimes logs, for each process that was shut down, the time from its event=ended to its exit and from there to
+// the kill that it would have met.
+func logExitTimes(t *testing.T, observation *soak.Observation) {
+	t.Helper()
+	for _, process := range observation.Processes {
+		before, _, hasEnded := strings.Cut(process.Log, " event=ended ")
+		if process.ShutdownAt.IsZero() || !hasEnded {
+			continue
+		}
+		endedAt, err := time.Parse(time.RFC3339Nano, before[strings.LastIndexByte(before, '\n')+1:])
+		require.NoError(t, err)
+		killAt := process.ShutdownAt.Add(observation.Plan.StopTimeout)
+		t.Logf("measured exit server=%s ended_to_exit_ms=%d exit_to_kill_ms=%d", process.Server,
+			process.ExitedAt.Sub(endedAt).Milliseconds(), killAt.Sub(process.ExitedAt).Milliseconds())
+	}
+}
+
 // formatLogTime formats a time as the program's log does.
 func formatLogTime(moment time.Time) string { return moment.UTC().Format("15:04:05.000000") }
 
