Servers reconnect to failed members, so a long partition heals by itself

Callers saw: after a partition of more than 10 s the smaller side stayed on its guaranteed minimum of every quota until an operator restarted it (TestQuotaIsNeverExceededThroughFaults, "leases after the partition"). Cause: memberlist forgets a failed member after 10 s and probes only living ones; joinLoop joins only while no other member is known. Nothing connected two sides of which each has two members. Change: each server remembers failed members with their addresses and tries one of them, or of the seeds that are not members, at random every 2 s, less often in large clusters; the rate does not grow with the failed members. One success is enough, as the two exchange their whole states. Members that announced a leave are not tried.

--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -88,6 +88,7 @@
 		OnUsage:          serverGossip.UsageReported,
 		OnMemberEvent:    d.logMemberEvent,
 		OnQuorumChange:   d.logQuorumChange,
+		OnReconnect:      func(address string) { d.log.Event("reconnected").Str("address", address).Send() },
 	}
 }
 
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -64,7 +64,8 @@
 	// Now returns the current time. If it is nil, time.Now is used.
 	Now func() time.Time
 
-	// The functions below may be nil. They are called on the worker goroutine and must not block.
+	// The functions below may be nil. Except for OnReconnect, they are called on the worker goroutine. They must not
+	// block.
 
 	// OnChange is called when the effective size of the cluster or the quorum status has changed.
 	OnChange func(size int, status membership.QuorumStatus)
@@ -72,6 +73,8 @@
 	OnMemberEvent func(event string, id membership.ID, from, to membership.State, cause membership.Cause)
 	// OnQuorumChange is called when the quorum status has changed.
 	OnQuorumChange func(status membership.QuorumStatus, size int, epoch uint64)
+	// OnReconnect is called, on a goroutine of the node, when the node has reconnected to a failed member or to a seed.
+	OnReconnect func(address string)
 	// OnUsage is called with the tenant usage that another server reported. age is the age of the report.
 	OnUsage func(reporter membership.ID, age time.Duration, usage []membership.TenantUsage)
 	// Handlers handle the envelopes that are sent to this server, by the kind of envelope. Kinds start at
--- a/internal/gossip/delegate.go
+++ b/internal/gossip/delegate.go
@@ -94,7 +94,8 @@
 func (d delegate) NotifyLeave(peer *memberlist.Node) {
 	id, _ := parseNodeName(peer.Name) // NotifyAlive rejects names that cannot be parsed
 	hasLeft := peer.State == memberlist.StateLeft
-	d.node.enqueue(func() { d.node.memberFailedOrLeft(id, hasLeft) })
+	address := peer.Address()
+	d.node.enqueue(func() { d.node.memberFailedOrLeft(id, address, hasLeft) })
 }
 
 // NotifyUpdate is called when a member's metadata changes, which never happens in this program.
@@ -114,6 +115,7 @@
 // fields.
 func (n *Node) memberJoined(id membership.ID, address string, metadata nodeMetadata) {
 	n.joined[id] = true
+	n.failed.remove(id, address)
 	if _, isKnown := n.publicKeys[id]; !isKnown && metadata.PublicKey != nil {
 		n.publicKeys[id] = metadata.PublicKey
 	}
@@ -123,12 +125,16 @@
 	n.view.Refuted(id)
 }
 
-// memberFailedOrLeft reports to the view that a member has left or failed. It must run on the worker.
-func (n *Node) memberFailedOrLeft(id membership.ID, hasLeft bool) {
+// memberFailedOrLeft reports to the view that a member has left or failed. It must run on the worker. A member that
+// failed without having announced that it leaves is one to reconnect to.
+func (n *Node) memberFailedOrLeft(id membership.ID, address string, hasLeft bool) {
 	delete(n.joined, id)
 	if hasLeft {
 		n.view.RecordLeave(id)
 		return
 	}
 	n.view.RecordFailure(id)
+	if member := n.view.Member(id); member != nil && member.State == membership.StateFailed {
+		n.failed.add(failedMember{id: id, address: address, failedAt: n.config.Now()})
+	}
 }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -61,10 +61,13 @@
 	publicKeys    map[membership.ID]ed25519.PublicKey
 	signedUpdates map[membership.ID]signedMessage // the latest update of each member, as signed by it
 	joined        map[membership.ID]bool          // members that memberlist considers alive
+	failed        failedMembers                   // members to reconnect to
 	nextPublishAt time.Time                       // when this server's next update is due
 	lastSize      int                             // as last reported
 	lastStatus    membership.QuorumStatus         // as last reported
 
+	// ReconnectAttempts counts the attempts to reconnect to failed members and seeds, since the start.
+	ReconnectAttempts atomic.Int64
 	// Dropped counts the messages and tasks that were dropped since the start, because the worker's queue was full, all
 	// streams were in use, or an envelope was too long or had an invalid address.
 	Dropped atomic.Int64
@@ -93,9 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n.goroutines.Add(3)
+	n.goroutines.Add(4)
 	go n.run()
 	go n.joinLoop()
+	go n.reconnectLoop()
 	go n.pingLoop()
 	return n, nil
 }
--- a/internal/gossip/virtual_network_test.go
+++ b/internal/gossip/virtual_network_test.go
@@ -51,6 +51,13 @@
 	return &virtualNetwork{random: rand.New(rand.NewSource(seed)), transports: map[string]*virtualTransport{}}
 }
 
+// setCut replaces the function that tells whether traffic between two addresses is lost; nil means that none is.
+func (n *virtualNetwork) setCut(isCut func(from, to string) bool) {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	n.isCut = isCut
+}
+
 // newTransport adds a transport to the network. Its address is derived from number.
 func (n *virtualNetwork) newTransport(number int) *virtualTransport {
 	transport := &virtualTransport{
