Tests of one process limit each read and write, not the life of a connection

Change: a deadline for each operation, which is what the comment on EventTimeout says ("the longest wait for an event").

--- a/internal/servertest/link.go
+++ b/internal/servertest/link.go
@@ -12,15 +12,33 @@
 	"thistlequay/internal/emulator"
 )
 
+// timeLimitedConn is a connection on which each read and each write fails after EventTimeout.
+type timeLimitedConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c timeLimitedConn) Read(buffer []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(EventTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(buffer)
+}
+
+// Write implements net.Conn.
+func (c timeLimitedConn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(EventTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
+
 // NextLink waits for the program's next connection to an emulator. The test fails if the program opens none within
-// EventTimeout. Reads and writes on the connection fail once it has been open for EventTimeout.
+// EventTimeout. Each read and each write on the connection fails after EventTimeout.
 func (s *Server) NextLink(listener *emulator.Listener) *emulator.Link {
 	s.T.Helper()
 	select {
 	case link := <-listener.Links:
-		s.NoError(link.SetDeadline(time.Now().Add(EventTimeout)))
 		s.T.Cleanup(func() { CloseQuietly(link) })
-		return link
+		return emulator.NewLink(timeLimitedConn{link.Conn})
 	case <-time.After(EventTimeout):
 		s.FailNow("the program opened no connection within EventTimeout")
 		return nil
--- a/internal/servertest/router_link.go
+++ b/internal/servertest/router_link.go
@@ -16,7 +16,7 @@
 }
 
 // ConnectRouter connects to the program as a router, retrying until the program listens. The test fails if it does not
-// listen within EventTimeout. Reads and writes on the connection fail once it has been open for EventTimeout.
+// listen within EventTimeout. Each read and each write on the connection fails after EventTimeout.
 func (s *Server) ConnectRouter() *RouterLink {
 	s.T.Helper()
 	var connection net.Conn
@@ -26,9 +26,8 @@
 		return err == nil
 	}
 	s.Eventually(canConnect, EventTimeout, 5*time.Millisecond)
-	s.NoError(connection.SetDeadline(time.Now().Add(EventTimeout)))
 	s.T.Cleanup(func() { CloseQuietly(connection) })
-	return &RouterLink{s, emulator.NewLink(connection)}
+	return &RouterLink{s, emulator.NewLink(timeLimitedConn{connection})}
 }
 
 // NewRequestID returns a new unique request identifier.
