--- a/internal/clustertest/gossip_test.go
+++ b/internal/clustertest/gossip_test.go
@@ -315,7 +315,9 @@
 		},
 	}
 	stats := cluster.RunTraffic(traffic)
-	cluster.Zero(stats.Unanswered + stats.PastDeadline + stats.DuplicateRuns)
+	cluster.Zero(stats.Unanswered, "unanswered")
+	cluster.Zero(stats.DuplicateRuns, "run twice")
+	cluster.Zero(stats.PastDeadline, "past the deadline")
 	cluster.Close()
 	gain.onTime = mean(stats.OnTimeFractionBySecond[len(stats.OnTimeFractionBySecond)*2/3:])
 	return gain
--- a/internal/clustertest/quota_gain_test.go
+++ b/internal/clustertest/quota_gain_test.go
@@ -152,7 +152,8 @@
 	if r.mode == quotaMode {
 		r.LessOrEqual(peak, scenarioTotalCalls)
 	}
-	r.Zero(stats.PastDeadline + stats.DuplicateRuns)
+	r.Zero(stats.DuplicateRuns, "run twice")
+	r.Zero(stats.PastDeadline, "past the deadline")
 	r.Close()
 	return onTime
 }
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -75,6 +75,7 @@
 		return
 	}
 	r.server.checkInvariant(r.stream.Owner == r, "a request is answered twice")
+	r.server.countIfLate(r)
 	router := r.router
 	stream := r.stream
 	r.detachRouter()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -104,6 +104,7 @@
 	badPeers         int // connections closed because of invalid input
 	unreadClosed     int // connections closed because of too much unread output
 	failedDials      int
+	lateResponses    int // responses sent after the time limit of their requests
 	brokenInvariants int
 }
 
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -19,7 +19,8 @@
 		Int64("gauges_age_ms", s.interpreter.gaugeAges.percentile99().Milliseconds()).
 		Int64("timer_late_ms", s.timerLateness.percentile99().Milliseconds()).
 		Int("interpreter_links", s.interpreter.linkCount).Int("directory_reports_missed", s.directory.missedReports).
-		Int("bad_peers", s.badPeers).Int("unread_closed", s.unreadClosed).Int("connections_evicted", s.routers.evicted)
+		Int("bad_peers", s.badPeers).Int("unread_closed", s.unreadClosed).Int("connections_evicted", s.routers.evicted).
+		Int("late_responses", s.lateResponses)
 	for _, optional := range s.enabledSubsystems {
 		optional.addState(event)
 	}
