--- a/internal/server/plugin_socket_test.go
+++ b/internal/server/plugin_socket_test.go
@@ -106,6 +106,8 @@
 			for slot := uint16(1); slot < 5; slot++ {
 				interpreter.ServeOne(router, slot, kind)
 			}
+			// The program writes its log beside the responses.
+			server.WaitForLog("event=plugin_quarantined name=bad")
 			server.Equal(1, server.EventCount("plugin_quarantined name=bad"), kind)
 		})
 	}
