Free addresses of tests are on a loopback host of the process alone

Change: the host is derived from the process ID, so that neither other processes nor connections, whose local host is 127.0.0.1, use it, and no address is returned twice.

--- a/internal/emulator/link.go
+++ b/internal/emulator/link.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
 )
 
@@ -100,11 +102,30 @@
 // drop closes the link. It ignores the error that a second close returns.
 func (l *Link) drop() { _ = l.Close() }
 
-// FreeAddress returns a loopback address as host:port on which nothing listened at the time of the call.
+// drawnAddresses are the addresses that FreeAddress has returned.
+var drawnAddresses sync.Map
+
+// FreeAddress returns a loopback address as host:port on which nothing listened at the time of the call. The host is
+// one of this process alone and each address is returned once, so that nothing else takes the port before the caller
+// listens on it: neither another process that draws a port nor a connection, whose local host is 127.0.0.1.
 func FreeAddress() (string, error) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		socket, err := net.Listen("tcp", net.JoinHostPort(processHost(os.Getpid()), "0"))
+		if err != nil {
+			return "", err
+		}
+		address := socket.Addr().String()
+		if err := socket.Close(); err != nil {
+			return "", err
+		}
+		if _, isDrawn := drawnAddresses.LoadOrStore(address, true); !isDrawn {
+			return address, nil
+		}
 	}
-	return socket.Addr().String(), socket.Close()
+}
+
+// processHost returns a loopback host that differs between processes with different IDs of up to 22 bits, the largest
+// that Linux assigns, and is not 127.0.0.1.
+func processHost(processID int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 128+processID>>16&63, processID>>8&255, processID&255)
 }
