The pause monitor reads the server's clock, and a batch reads none for it

Change: the monitor runs on the server's clock and its readers pass the time of the batch; a tick is one function, so that a unit test can play it.

--- a/internal/server/clock.go
+++ b/internal/server/clock.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// elapsed returns the current time like now, but may be called from any goroutine and does not look for changes of the
+// system clock.
+func (c *clock) elapsed() timeunit.Ticks {
+	_, elapsed := c.readClocks()
+	return c.startedAt + timeunit.TicksOf(elapsed)
+}
+
 // now returns the current time. It updates systemOffset if the system clock was set since the last call.
 func (c *clock) now() timeunit.Ticks {
 	system, elapsed := c.readClocks()
--- a/internal/server/lateness.go
+++ b/internal/server/lateness.go
@@ -45,10 +45,10 @@
 // event shows whether the process did not get its core: then a recent pause or late timer is about as long.
 func (s *Server) countIfLate(r *request) {
 	lateness := s.now - r.deadline
-	if lateness <= timeunit.TicksOf(routerTolerance) || !countAndSample(&s.lateResponses) {
+	if lateness <= routerTolerance || !countAndSample(&s.lateResponses) {
 		return
 	}
 	s.log.Event("late_response").Str("request", r.id).Int("count", s.lateResponses).
-		Int64("late_ms", lateness.Milliseconds()).Int64("paused_ms", s.pauseMonitor.longestPause().Milliseconds()).
+		Int64("late_ms", lateness.Milliseconds()).Int64("paused_ms", s.pauseMonitor.longestPause(s.now).Milliseconds()).
 		Int64("timer_late_ms", s.peakLateness.peak(s.now).Milliseconds()).Send()
 }
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -72,7 +72,7 @@
 // and by the pause monitor. If a timer is overdue now or was late recently, the process was stopped or delayed, and the
 // notice may have waited for as long.
 func (s *Server) measuredNoticeDelay() timeunit.Ticks {
-	delay := max(s.peakLateness.peak(s.now), s.pauseMonitor.longestPause())
+	delay := max(s.peakLateness.peak(s.now), s.pauseMonitor.longestPause(s.now))
 	if len(s.deadlines) > 0 {
 		delay = max(delay, s.now-s.deadlines[0].deadline)
 	}
--- a/internal/server/pause.go
+++ b/internal/server/pause.go
@@ -1,10 +1,6 @@
 package server
 
-import (
-	"time"
-
-	"thistlequay/timeunit"
-)
+import "time"
 
 // pauseThreshold is the timer lateness above which the machine or the process is assumed to have been paused.
 const pauseThreshold = second / 50
@@ -20,11 +16,11 @@
 )
 
 // routerTolerance is how long after the grace period a request may still run, as routers measure it.
-const routerTolerance = 50 * time.Millisecond
+const routerTolerance = second / 20
 
 // pendingNoticeTime is how long after a pause a shutdown notice that was sent during the pause may still be on its way
 // to the event loop: from the signal handler through two goroutines.
-const pendingNoticeTime = 20 * time.Millisecond
+const pendingNoticeTime = second / 50
 
 // deferAfterPause reports whether timers and dispatch must wait until the sockets have been read once more. It detects
 // a pause, begins the wait and schedules resumeAfterPause, which ends the wait. The next endBatch then sets the state
@@ -37,7 +33,7 @@
 	if s.pauseState == pauseNone {
 		switch {
 		case s.noticeMayBePending():
-			s.awaitSockets(pendingNoticeTime)
+			s.awaitSockets(pendingNoticeTime.Duration())
 		case s.isTimerLate():
 			s.awaitSockets(0)
 		}
@@ -56,8 +52,8 @@
 	if s.phase >= phaseDraining {
 		return false
 	}
-	shortestPause := s.config.Settings.DrainGrace + timeunit.TicksOf(routerTolerance-pauseMonitorInterval)
-	return s.pauseMonitor.pauseJustEnded(pendingNoticeTime) > shortestPause
+	shortestPause := s.config.Settings.DrainGrace + routerTolerance - pauseMonitorInterval
+	return s.pauseMonitor.pauseJustEnded(s.now, pendingNoticeTime) > shortestPause
 }
 
 // awaitSockets begins the wait for the sockets, which lasts at least for delay.
--- a/internal/server/pausemonitor.go
+++ b/internal/server/pausemonitor.go
@@ -10,11 +10,11 @@
 const (
 	// pauseMonitorInterval is the period of the pause monitor. A pause is measured to within this time, which must stay
 	// below the 50 ms that routers tolerate around the end of the grace period.
-	pauseMonitorInterval = 40 * time.Millisecond
+	pauseMonitorInterval = second / 25
 
 	// pauseMemory is how long the pause monitor remembers a pause. A shutdown notice that was sent during the pause is
 	// handled well within this time after it.
-	pauseMemory = 2 * time.Second
+	pauseMemory = 2 * second
 )
 
 // pauseMonitor measures pauses of the whole process, for example by SIGSTOP or because the machine runs nothing of it.
@@ -23,88 +23,87 @@
 //
 // The zero value has seen no pause. run belongs to one goroutine; the other methods may be called from any.
 type pauseMonitor struct {
-	startedAt time.Time
-
-	// nextTickAt is the latest time at which the next tick is due, since startedAt; 0 before run. It is stored after the
-	// pause that the last tick measured, and read before it, so that a reader sees the pause either as recorded or as
-	// the lateness of the next tick.
+	// nextTickAt is the latest time at which the next tick is due; 0 before start. It is stored after the pause that the
+	// last tick measured, and read before it, so that a reader sees the pause either as recorded or as the lateness of
+	// the next tick.
 	nextTickAt atomic.Int64
 	longest    recordedPause // longest pause within pauseMemory
 	last       recordedPause
 }
 
-// recordedPause is the length of a pause and when it ended, since the start of the monitor. The zero value is no pause.
+// recordedPause is the length of a pause, in ticks, and when it ended. The zero value is no pause.
 type recordedPause struct {
 	length  atomic.Int64
 	endedAt atomic.Int64
 }
 
 // store replaces the recorded pause.
-func (p *recordedPause) store(now, length time.Duration) {
+func (p *recordedPause) store(now, length timeunit.Ticks) {
 	p.length.Store(int64(length))
 	p.endedAt.Store(int64(now))
 }
 
 // within returns the length of the pause if it ended within maxAge before now, otherwise 0.
-func (p *recordedPause) within(now, maxAge time.Duration) time.Duration {
-	if now-time.Duration(p.endedAt.Load()) > maxAge {
+func (p *recordedPause) within(now, maxAge timeunit.Ticks) timeunit.Ticks {
+	if now-timeunit.Ticks(p.endedAt.Load()) > maxAge {
 		return 0
 	}
-	return time.Duration(p.length.Load())
+	return timeunit.Ticks(p.length.Load())
 }
 
-// start begins to monitor and returns a function that ends the monitor's goroutine.
-func (m *pauseMonitor) start() (stop func()) {
-	m.startedAt = time.Now()
-	m.nextTickAt.Store(int64(pauseMonitorInterval))
+// start begins to monitor and returns a function that ends the monitor's goroutine. clock returns the current time on
+// the server's clock and must be safe for concurrent use.
+func (m *pauseMonitor) start(clock func() timeunit.Ticks) (stop func()) {
+	m.tick(clock())
 	stopped := make(chan struct{})
-	go m.run(stopped)
+	go m.run(clock, stopped)
 	return func() { close(stopped) }
 }
 
 // run records the lateness of its ticks until stopped is closed.
-func (m *pauseMonitor) run(stopped <-chan struct{}) {
-	ticker := time.NewTicker(pauseMonitorInterval)
+func (m *pauseMonitor) run(clock func() timeunit.Ticks, stopped <-chan struct{}) {
+	ticker := time.NewTicker(pauseMonitorInterval.Duration())
 	defer ticker.Stop()
 	for {
 		select {
 		case <-stopped:
 			return
 		case <-ticker.C:
-			now := time.Since(m.startedAt)
-			m.record(now, now-time.Duration(m.nextTickAt.Load()))
-			m.nextTickAt.Store(int64(now + pauseMonitorInterval))
+			m.tick(clock())
 		}
 	}
 }
 
-// record records that a tick was late, which means that a pause of this length ends now. A negative length is no pause.
-func (m *pauseMonitor) record(now, length time.Duration) {
-	if length <= 0 {
-		return
-	}
-	m.last.store(now, length)
-	if length > m.longest.within(now, pauseMemory) {
-		m.longest.store(now, length)
+// tick records by how much this tick is late, which means that a pause of this length ends now, and when the next tick
+// is due.
+func (m *pauseMonitor) tick(now timeunit.Ticks) {
+	dueAt := timeunit.Ticks(m.nextTickAt.Load())
+	if length := now - dueAt; dueAt > 0 && length > 0 {
+		m.last.store(now, length)
+		if length > m.longest.within(now, pauseMemory) {
+			m.longest.store(now, length)
+		}
 	}
+	m.nextTickAt.Store(int64(now + pauseMonitorInterval))
 }
 
-// longestPause returns the length of the longest pause within pauseMemory, or 0 if there was none. It is at most
-// pauseMonitorInterval too short, and counts a pause that the monitor itself has not noticed yet.
-func (m *pauseMonitor) longestPause() timeunit.Ticks { return m.pauseIn(&m.longest, pauseMemory) }
+// longestPause returns the length of the longest pause within pauseMemory before now, or 0 if there was none. It is at
+// most pauseMonitorInterval too short, and counts a pause that the monitor itself has not noticed yet.
+func (m *pauseMonitor) longestPause(now timeunit.Ticks) timeunit.Ticks {
+	return m.pauseIn(&m.longest, now, pauseMemory)
+}
 
-// pauseJustEnded returns the length of a pause that ended within maxAge, or 0 if there was none. It is as precise as
-// longestPause.
-func (m *pauseMonitor) pauseJustEnded(maxAge time.Duration) timeunit.Ticks {
-	return m.pauseIn(&m.last, maxAge)
+// pauseJustEnded returns the length of a pause that ended within maxAge before now, or 0 if there was none. It is as
+// precise as longestPause.
+func (m *pauseMonitor) pauseJustEnded(now, maxAge timeunit.Ticks) timeunit.Ticks {
+	return m.pauseIn(&m.last, now, maxAge)
 }
 
 // pauseIn returns the length of the recorded pause or, if that is longer, of one that the next tick will record.
-func (m *pauseMonitor) pauseIn(recorded *recordedPause, maxAge time.Duration) timeunit.Ticks {
-	nextTickAt := time.Duration(m.nextTickAt.Load())
-	if nextTickAt == 0 {
+func (m *pauseMonitor) pauseIn(recorded *recordedPause, now, maxAge timeunit.Ticks) timeunit.Ticks {
+	dueAt := timeunit.Ticks(m.nextTickAt.Load())
+	if dueAt == 0 {
 		return 0
 	}
-	now := time.Since(m.startedAt)
-	return timeunit.TicksOf(max(now-nextTickAt, recorded.within(now, maxAge), 0))
+	return max(now-dueAt, recorded.within(now, maxAge), 0)
 }
