--- a/admission/drain_test.go
+++ b/admission/drain_test.go
@@ -24,12 +24,12 @@
 func (runCountingHost) SetTimer(timeunit.Ticks) {}
 func (runCountingHost) StopRun(*Request)        {}
 
-// Guards against requests that were queued before the server learned of the shutdown and run although they arrived after
-// the grace period: the notice may be handled later than it was given.
+// Guards against requests that were queued before the server learned of the shutdown and run although they arrived
+// after the grace period: the notice may be handled later than it was given.
 func TestQueuedRequestsOfAfterTheGracePeriodAreRejected(t *testing.T) {
 	host := runCountingHost{runs: map[uint64]bool{}, rejections: map[uint64]bool{}}
-	server := New(Config{Categories: []Category{{Weight: 1, SoftDeadline: 20000, Deadline: 30000}}, Cores: 1, Servers: 1,
-		DrainGrace: 1000, OverloadThreshold: 8, MemoryKB: 1e9}, host, 0)
+	server := New(Config{Categories: []Category{{Weight: 1, SoftDeadline: 20000, Deadline: 30000}}, Cores: 1,
+		Servers: 1, DrainGrace: 1000, OverloadThreshold: 8, MemoryKB: 1e9}, host, 0)
 	server.Advance(10000)
 	const requests = 40
 	isLate := func(id uint64) bool { return id%2 == 1 }
--- a/internal/clustertest/exit_test.go
+++ b/internal/clustertest/exit_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Guards against a process that has ended and is killed because it still waits for members that do not answer to receive
-// its announcement that it leaves. It must exit 0.1 s before the kill, also if the notice was up to 0.3 s late.
+// Guards against a process that has ended and is killed because it still waits for members that do not answer to
+// receive its announcement that it leaves. It must exit 0.1 s before the kill, also if the notice was up to 0.3 s late.
 func TestExitDoesNotWaitForMembersThatDoNotAnswer(t *testing.T) {
 	t.Parallel()
 	const (
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,7 +81,8 @@
 	return nil
 }
 
-// closeSubsystems closes the subsystems that do not belong to the event loop, after its end, and logs how long each took.
+// closeSubsystems closes the subsystems that do not belong to the event loop, after its end, and logs how long each
+// took.
 func (d *daemon) closeSubsystems() {
 	startedAt := time.Now()
 	d.quota.close()
--- a/internal/gossip/reconnect.go
+++ b/internal/gossip/reconnect.go
@@ -8,9 +8,9 @@
 	"thistlequay/internal/membership"
 )
 
-// Parameters of the attempts to reconnect to failed members. After a partition that outlasts gossipToDeadTime, each side
-// has forgotten the other in memberlist, which then neither probes it nor sends it anything, so the sides would stay
-// separate for ever. Serf's reconnector solves the same problem in the same way.
+// Parameters of the attempts to reconnect to failed members. After a partition that outlasts gossipToDeadTime, each
+// side has forgotten the other in memberlist, which then neither probes it nor sends it anything, so the sides would
+// stay separate for ever. Serf's reconnector solves the same problem in the same way.
 const (
 	// minReconnectInterval is the mean time between two attempts of one server in a small cluster. In a large one it is
 	// reconnectIntervalPerMember times the number of members, so that the rate of the whole cluster stays bounded. It
--- a/internal/gossip/reconnect_test.go
+++ b/internal/gossip/reconnect_test.go
@@ -27,8 +27,8 @@
 	oneWay bool  // only traffic from a higher side to a lower one is lost
 }
 
-// Guards against a cluster that stays split for ever: after a partition that outlasted gossipToDeadTime, no member tried
-// to reach one that it considered failed.
+// Guards against a cluster that stays split for ever: after a partition that outlasted gossipToDeadTime, no member
+// tried to reach one that it considered failed.
 func TestSidesOfALongPartitionReunite(t *testing.T) {
 	twoOfFive := []int{0, 0, 1, 1, 1}
 	halves := []int{0, 0, 0, 0, 1, 1, 1, 1}
@@ -54,15 +54,15 @@
 	}
 }
 
-// requireReunion partitions a cluster, heals it and requires that all nodes see each other and the majority in time, and
-// that there are never two majorities.
+// requireReunion partitions a cluster, heals it and requires that all nodes see each other and the majority in time,
+// and that there are never two majorities.
 func requireReunion(t *testing.T, test partitionCase) {
 	t.Helper()
 	size := len(test.sides)
 	network := newVirtualNetwork(int64(size))
 	nodes := startNodesWithSeeds(t, network, size, test.seeds)
 	defer closeNodes(nodes)
-	require.GreaterOrEqual(t, waitUntil(3*time.Minute, func() bool { return allInMajority(nodes, size) }), time.Duration(0))
+	require.Positive(t, waitUntil(3*time.Minute, func() bool { return allInMajority(nodes, size) }))
 	sideOf := map[string]int{}
 	for i, node := range nodes {
 		sideOf[node.config.ListenAddress] = test.sides[i]
--- a/internal/server/pausemonitor.go
+++ b/internal/server/pausemonitor.go
@@ -18,14 +18,14 @@
 )
 
 // pauseMonitor measures pauses of the whole process, for example by SIGSTOP or because the machine runs nothing of it.
-// It has a tick due at all times, so it also measures a pause in which no timer of the event loop is due: an idle server
-// could not tell otherwise how old a shutdown notice is that it finds when it resumes.
+// It has a tick due at all times, so it also measures a pause in which no timer of the event loop is due: an idle
+// server could not tell otherwise how old a shutdown notice is that it finds when it resumes.
 //
 // The zero value has seen no pause. run belongs to one goroutine; the other methods may be called from any.
 type pauseMonitor struct {
-	// nextTickAt is the latest time at which the next tick is due; 0 before start. It is stored after the pause that the
-	// last tick measured, and read before it, so that a reader sees the pause either as recorded or as the lateness of
-	// the next tick.
+	// nextTickAt is the latest time at which the next tick is due; 0 before start. It is stored after the pause that
+	// the last tick measured, and read before it, so that a reader sees the pause either as recorded or as the lateness
+	// of the next tick.
 	nextTickAt atomic.Int64
 	longest    recordedPause // longest pause within pauseMemory
 	last       recordedPause
