Tests in virtual time no longer crash the race detector

Cause: Go 1.26 runs all timer functions of a synctest bubble in one context of the race detector and unlocks the timers while one runs; two processors that run two of them at once corrupt the context's call stack. Evidence: rip of the dump is the loop in sanitizer::StackDepotBase::Put that hashes a call stack, whose length (r12) is 0xffffffff; r13 lies in time.goFunc. A program of 32 goroutines that only start timers ended at the same instruction in 3 of 3 plays with six processors and in 0 of 3 with one. Change: internal/virtualtime runs a bubble with one processor under the race detector; every test in virtual time uses it. The detector finds races by the order of synchronization, not by chance of overlap. startNodes of internal/gossip takes the seeds, which startNodesWithSeeds repeated.

--- a/internal/gossip/golden_test.go
+++ b/internal/gossip/golden_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"reflect"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +17,7 @@
 
 	"thistlequay/internal/golden"
 	"thistlequay/internal/membership"
+	"thistlequay/internal/virtualtime"
 	"thistlequay/timeunit"
 )
 
@@ -206,7 +206,7 @@
 	require.NoError(t, err)
 	header := []byte("\xf4\x04" + testCluster + "\x01") // cluster label and encryption version
 	const userMessageType = 8
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		network := newVirtualNetwork(1)
 		transport, peerTransport := network.newTransport(1), network.newTransport(2)
 		sender := goldenMember(2, 1)
--- a/internal/gossip/hostile_test.go
+++ b/internal/gossip/hostile_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
@@ -16,6 +15,7 @@
 
 	"thistlequay/internal/membership"
 	"thistlequay/internal/schedule"
+	"thistlequay/internal/virtualtime"
 )
 
 // spoofedAddress is the source address of the packets that tests inject.
@@ -167,7 +167,7 @@
 // cluster's key sends. The member forges messages, sends malformed ones, and replays three minutes of packets (an hour
 // if MEASURE=full). None of them may be accepted.
 func TestMeasuredRejectionOfHostileMessages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		done := make(chan struct{})
 		cluster := startHostileCluster(t, done)
 		var countsBefore membership.Counts
@@ -211,7 +211,7 @@
 // under the cluster's key, and declares the member dead. No node may consider the member failed permanently, and all
 // nodes must be in the majority again.
 func TestMemberRefutesForgedDeath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		network := newVirtualNetwork(2)
 		network.isUnencrypted = true
 		nodes := startNodes(t, network, 5)
--- a/internal/gossip/reconnect_test.go
+++ b/internal/gossip/reconnect_test.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"thistlequay/internal/membership"
 	"thistlequay/internal/schedule"
+	"thistlequay/internal/virtualtime"
 )
 
 // Time limits after a partition has healed.
@@ -23,7 +23,7 @@
 type partitionCase struct {
 	sides  []int
 	length time.Duration
-	seeds  []int // numbers of the nodes whose addresses are the seeds; nil means the first three
+	seeds  []int // numbers of the nodes whose addresses are the seeds; nil means defaultSeeds
 	oneWay bool  // only traffic from a higher side to a lower one is lost
 }
 
@@ -51,7 +51,7 @@
 		for name, test := range cases {
 			test.length = length
 			t.Run(fmt.Sprint(name, " for ", length), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { requireReunion(t, test) })
+				virtualtime.Test(t, func(t *testing.T) { requireReunion(t, test) })
 			})
 		}
 	}
@@ -63,7 +63,7 @@
 	t.Helper()
 	size := len(test.sides)
 	network := newVirtualNetwork(int64(size))
-	nodes := startNodesWithSeeds(t, network, size, test.seeds)
+	nodes := startNodes(t, network, size, test.seeds...)
 	defer closeNodes(nodes)
 	require.Positive(t, waitUntil(3*time.Minute, func() bool { return allInMajority(nodes, size) }))
 	sideOf := map[string]int{}
@@ -101,7 +101,7 @@
 // Guards against attempts to reconnect that grow with the number of failed members, of which a third are gone here.
 func TestMeasuredReconnectAttempts(t *testing.T) {
 	for _, size := range schedule.Scale([]int{12}, []int{12, 300}) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			network := newVirtualNetwork(int64(size))
 			nodes := startNodes(t, network, size)
 			defer closeNodes(nodes)
@@ -141,7 +141,7 @@
 		"another key":          func(config *Config) { config.Keys = [][]byte{[]byte("fedcba9876543210")} },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				network := newVirtualNetwork(7)
 				nodes := startNodes(t, network, 5)
 				require.Positive(t, waitUntil(3*time.Minute, func() bool { return allInMajority(nodes, 5) }))
@@ -175,27 +175,6 @@
 	}
 }
 
-// startNodesWithSeeds is like startNodes with other seeds; nil means those of startNodes.
-func startNodesWithSeeds(t *testing.T, network *virtualNetwork, count int, seeds []int) (nodes []*Node) {
-	t.Helper()
-	if seeds == nil {
-		return startNodes(t, network, count)
-	}
-	for i := range count {
-		transport := network.newTransport(i + 1)
-		config := testConfig(i, count, transport, transport.address)
-		config.SeedAddresses = nil
-		for _, seed := range seeds {
-			config.SeedAddresses = append(config.SeedAddresses, fmt.Sprintf("10.0.0.%d:7946", seed+1))
-		}
-		node, err := Start(config)
-		require.NoError(t, err)
-		node.SetLocalState(LocalState{State: membership.StateServing})
-		nodes = append(nodes, node)
-	}
-	return nodes
-}
-
 // allSeeAlive reports whether every node sees the given number of members alive.
 func allSeeAlive(nodes []*Node, alive int) bool {
 	for _, node := range nodes {
--- a/internal/gossip/virtual_network_test.go
+++ b/internal/gossip/virtual_network_test.go
@@ -58,11 +58,16 @@
 	n.isCut = isCut
 }
 
+// addressOf returns the address of the transport with the given number.
+func addressOf(number int) string {
+	return fmt.Sprintf("10.%d.%d.%d:7946", number>>16, number>>8&255, number&255)
+}
+
 // newTransport adds a transport to the network. Its address is derived from number.
 func (n *virtualNetwork) newTransport(number int) *virtualTransport {
 	transport := &virtualTransport{
 		network: n,
-		address: fmt.Sprintf("10.%d.%d.%d:7946", number>>16, number>>8&255, number&255),
+		address: addressOf(number),
 		packets: make(chan *memberlist.Packet, 4096),
 		streams: make(chan net.Conn, 64),
 	}
@@ -134,7 +139,18 @@
 	return nil
 }
 
-// testConfig returns the configuration of a node in a cluster of the given size that has three seeds. Nodes are
+// defaultSeeds are the numbers of the nodes that are the seeds unless a test chooses others.
+var defaultSeeds = []int{0, 1, 2}
+
+// seedAddresses returns the addresses of the nodes with the given numbers.
+func seedAddresses(numbers []int) (addresses []string) {
+	for _, number := range numbers {
+		addresses = append(addresses, addressOf(number+1))
+	}
+	return addresses
+}
+
+// testConfig returns the configuration of a node in a cluster of the given size with the default seeds. Nodes are
 // numbered from 0.
 func testConfig(number, size int, transport memberlist.Transport, address string) Config {
 	id := membership.ID{Name: fmt.Sprintf("n%04d", number), Incarnation: uint64(number + 1)}
@@ -144,20 +160,23 @@
 	return Config{
 		Membership:    config,
 		ListenAddress: address,
-		SeedAddresses: []string{"10.0.0.1:7946", "10.0.0.2:7946", "10.0.0.3:7946"},
+		SeedAddresses: seedAddresses(defaultSeeds),
 		ClusterName:   testCluster,
 		Keys:          [][]byte{[]byte(testKey)},
 		Transport:     transport,
 	}
 }
 
-// startNodes starts count nodes, which find each other through the first three.
-func startNodes(t *testing.T, network *virtualNetwork, count int) (nodes []*Node) {
+// startNodes starts count nodes, which find each other through the nodes numbered seeds or else defaultSeeds.
+func startNodes(t *testing.T, network *virtualNetwork, count int, seeds ...int) (nodes []*Node) {
 	t.Helper()
 	for i := range count {
 		transport := network.newTransport(i + 1)
 		config := testConfig(i, count, transport, transport.address)
 		config.Membership.Zone = fmt.Sprint("z", i%3)
+		if seeds != nil {
+			config.SeedAddresses = seedAddresses(seeds)
+		}
 		if network.isUnencrypted {
 			config.Keys = nil
 		}
--- a/internal/gossip/virtual_test.go
+++ b/internal/gossip/virtual_test.go
@@ -3,20 +3,20 @@
 import (
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"thistlequay/internal/membership"
 	"thistlequay/internal/schedule"
+	"thistlequay/internal/virtualtime"
 )
 
 // TestMeasuredFailureDetectionInVirtualTime runs the real memberlist and package membership in virtual time. It
 // measures how soon a failure is detected and how many bytes each node sends per second.
 func TestMeasuredFailureDetectionInVirtualTime(t *testing.T) {
 	for _, size := range schedule.Scale([]int{12, 40}, []int{12, 40, 100, 300}) {
-		synctest.Test(t, func(t *testing.T) { measureFailureDetection(t, size) })
+		virtualtime.Test(t, func(t *testing.T) { measureFailureDetection(t, size) })
 	}
 }
 
--- a/internal/servertest/link_test.go
+++ b/internal/servertest/link_test.go
@@ -4,16 +4,17 @@
 	"net"
 	"os"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"thistlequay/internal/virtualtime"
 )
 
 // Guards against a time limit for the whole life of a connection, which failed long tests on busy machines: each read
 // and each write has EventTimeout of its own, and a peer that does nothing still makes it fail.
 func TestEachReadAndWriteHasItsOwnTimeLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		local, remote := net.Pipe() // a write waits for the read of the other end
 		connection := timeLimitedConn{local}
 		buffer := make([]byte, 1)
--- /dev/null
+++ b/internal/virtualtime/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package virtualtime
+
+const raceDetectorEnabled = false
