A proposal whose acceptors answer slowly is continued, not abandoned

Callers saw: all servers on their guaranteed minimum of every quota while messages between servers take 250 ms and more each way, and for good if another voter ends meanwhile. Cause: a proposer without a result after half of StabilityWindow (1 s) began again under a higher ballot although acceptors were answering; a proposal takes four messages, so with 250 ms each way none was ever finished. Change: if an acceptor has answered since the last attempt and no higher ballot is known, the next attempt sends the messages of the current phase again under the same ballot, which Paxos allows (acceptors answer a repeated message like the first). Not while bootstrapping, where a promise of an incarnation that has ended must not count for longer.

--- a/internal/membership/proposer.go
+++ b/internal/membership/proposer.go
@@ -14,6 +14,7 @@
 	promises        []ID           // acceptors that have promised
 	isAccepting     bool           // phase 2: a quorum has promised
 	acceptances     []ID           // acceptors that have accepted
+	hasProgressed   bool           // another acceptor has answered since the messages of this phase were last sent
 
 	round             uint64                // round of this server's last proposal in any epoch
 	retryAfter        timeunit.Milliseconds // no new proposal before this time
@@ -39,6 +40,7 @@
 	p.promises = nil
 	p.isAccepting = false
 	p.acceptances = nil
+	p.hasProgressed = false
 }
 
 // addPromise counts a promise. If the acceptor has accepted a configuration under a higher ballot than any seen so far,
@@ -62,14 +64,42 @@
 	return message.Ballot == p.ballot && p.isAccepting && !slices.Contains(p.acceptances, message.From)
 }
 
+// attemptProposal continues the current proposal if an acceptor has answered since the last attempt, so that a proposal
+// also succeeds if its four messages take longer than the time between attempts. Otherwise, or if a higher ballot is
+// known, it starts a new one. While bootstrapping it always starts a new one, because a promise counts for as long as
+// its proposal and an acceptor may have been replaced by a new incarnation in the meantime.
+func (a *Agreement) attemptProposal(next Configuration) {
+	isPreempted := a.acceptor.promised != a.proposer.ballot
+	if !a.proposer.hasProgressed || isPreempted || a.isBootstrapping() {
+		a.startProposal(next)
+		return
+	}
+	a.proposer.hasProgressed = false
+	if !a.proposer.isAccepting && a.proposer.highestAccepted.Round == 0 {
+		a.proposer.proposal = &next // no acceptor knows the previous one
+	}
+	a.sendPhaseMessages()
+}
+
+// sendPhaseMessages sends every acceptor the message of the proposal's current phase. Acceptors answer a repeated
+// message like the first.
+func (a *Agreement) sendPhaseMessages() {
+	message := Message{Kind: MessagePrepare, Ballot: a.proposer.ballot}
+	if a.proposer.isAccepting {
+		message.Kind = MessageAccept
+		message.Configuration = a.proposer.proposal
+	}
+	acceptors, _ := a.acceptors()
+	for _, id := range acceptors {
+		a.send(id, message)
+	}
+}
+
 // startProposal asks the acceptors for promises. The ballot is higher than all that this server has used or promised.
 func (a *Agreement) startProposal(next Configuration) {
 	a.proposer.round = max(a.proposer.round, a.acceptor.promised.Round) + 1
 	a.proposer.begin(Ballot{a.proposer.round, a.config.Self}, &next)
-	acceptors, _ := a.acceptors()
-	for _, id := range acceptors {
-		a.send(id, Message{Kind: MessagePrepare, Ballot: a.proposer.ballot})
-	}
+	a.sendPhaseMessages()
 }
 
 // handlePromise starts phase 2 when a quorum has promised.
@@ -78,17 +108,20 @@
 		return
 	}
 	a.proposer.addPromise(message)
-	acceptors, quorum := a.acceptors()
+	a.recordProgress(message)
+	_, quorum := a.acceptors()
 	if len(a.proposer.promises) < quorum {
 		return
 	}
 	a.proposer.isAccepting = true
-	for _, id := range acceptors {
-		a.send(id, Message{
-			Kind:          MessageAccept,
-			Ballot:        a.proposer.ballot,
-			Configuration: a.proposer.proposal,
-		})
+	a.sendPhaseMessages()
+}
+
+// recordProgress records that an acceptor has answered. The answers of this server itself do not count, because it
+// always gives them.
+func (a *Agreement) recordProgress(message Message) {
+	if message.From != a.config.Self {
+		a.proposer.hasProgressed = true
 	}
 }
 
@@ -98,6 +131,7 @@
 		return
 	}
 	a.proposer.acceptances = append(a.proposer.acceptances, message.From)
+	a.recordProgress(message)
 	recipients, quorum := a.acceptors()
 	if len(a.proposer.acceptances) < quorum {
 		return
--- a/internal/membership/succession.go
+++ b/internal/membership/succession.go
@@ -60,7 +60,7 @@
 		return
 	}
 	a.proposer.retryAfter = now + a.config.StabilityWindow/2*timeunit.Milliseconds(1+rank)
-	a.startProposal(next)
+	a.attemptProposal(next)
 }
 
 // proposerRank returns this server's rank, starting at 0, among the acceptors that are alive and not draining, ordered
--- a/internal/schedule/network.go
+++ b/internal/schedule/network.go
@@ -12,6 +12,7 @@
 	// LossRate is the probability that a message is lost.
 	LossRate float64
 
+	minDelay  timeunit.Milliseconds
 	maxDelay  timeunit.Milliseconds
 	processes []*Process
 	cutLinks  map[link]bool
@@ -31,12 +32,18 @@
 
 // NewNetwork returns a network that loses no messages. A message takes between 1 millisecond and maxDelay to arrive.
 func NewNetwork[Message any](simulation Simulation, maxDelay timeunit.Milliseconds) Network[Message] {
-	return Network[Message]{Simulation: simulation, maxDelay: maxDelay, cutLinks: map[link]bool{}}
+	return Network[Message]{Simulation: simulation, minDelay: 1, maxDelay: maxDelay, cutLinks: map[link]bool{}}
 }
 
 // Join adds a process, which gets the next number.
 func (n *Network[Message]) Join(process *Process) { n.processes = append(n.processes, process) }
 
+// SetDelay changes the shortest and the longest time that a message sent from now on takes to arrive.
+func (n *Network[Message]) SetDelay(minDelay, maxDelay timeunit.Milliseconds) {
+	n.minDelay = minDelay
+	n.maxDelay = maxDelay
+}
+
 // Send sends a message to the current incarnation of a process. It draws the number of copies, then for each copy
 // whether it is lost and, if not, its delay. Copies on a cut link are lost without a draw.
 func (n *Network[Message]) Send(from, to int, message Message) {
@@ -44,7 +51,7 @@
 		if n.cutLinks[link{from, to}] || n.Random.Float64() < n.LossRate {
 			continue
 		}
-		n.SendAfter(n.DrawSpan(1, n.maxDelay+1), to, message)
+		n.SendAfter(n.DrawSpan(n.minDelay, n.maxDelay+1), to, message)
 	}
 }
 
