State updates reach all members of a small cluster in time

Callers saw: in clusters of up to nine servers, usage reports and loads up to 6 s old, charged late and in one lump. Cause: memberlist passes an update on RetransmitMult * ceil(log10(members + 1)) times; with the multiplier 1 that is once below ten members, and that one is often the update's sender. Evidence: three processes that report once a second, logged on arrival: gaps of 2 to 4.5 s on every server. Change: below ten members an update is passed on four times, as memberlist does by default; ten and more as before.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	n.broadcasts = &memberlist.TransmitLimitedQueue{
-		NumNodes:       func() int { return max(1, n.memberCount()) },
+		NumNodes:       n.retransmitMembers,
 		RetransmitMult: retransmitMultiplier,
 	}
 	n.memberlist, err = memberlist.Create(listConfig)
@@ -197,6 +197,15 @@
 	return n.memberlist.NumMembers()
 }
 
+// retransmitMembers returns the number of members of which memberlist takes the logarithm to determine to how many
+// members each member passes an update on.
+func (n *Node) retransmitMembers() int {
+	if count := n.memberCount(); count >= smallClusterMembers {
+		return count
+	}
+	return smallClusterRetransmitMembers
+}
+
 // Inspect has the worker call inspect with the cluster view and the agreement, and waits for at most a second. inspect
 // must not retain its arguments. If the error is ErrNoAnswer, inspect was not called and never will be, so the caller
 // may use what inspect would have written to.
--- a/internal/gossip/virtual_test.go
+++ b/internal/gossip/virtual_test.go
@@ -69,3 +69,41 @@
 	})
 	return delays
 }
+
+// Guards against state updates that reach some members of a small cluster seconds late, because each member passed an
+// update on to one other only, which might be its sender.
+func TestUpdatesReachAllMembersOfASmallClusterInTime(t *testing.T) {
+	const (
+		observed  = time.Minute
+		maxAge    = 2*minUpdateInterval + time.Second/2 // one update missed, and the time that the next one takes
+		lookEvery = 100 * time.Millisecond
+	)
+	for _, size := range []int{3, 5, 9} {
+		virtualtime.Test(t, func(t *testing.T) {
+			nodes := startNodes(t, newVirtualNetwork(int64(size)), size)
+			defer closeNodes(nodes)
+			require.Positive(t, waitUntil(3*time.Minute, func() bool { return allInMajority(nodes, size) }))
+			oldest := time.Duration(0)
+			for startedAt := time.Now(); time.Since(startedAt) < observed; time.Sleep(lookEvery) {
+				oldest = max(oldest, oldestUpdate(t, nodes))
+			}
+			t.Logf("measured update-age members=%d oldest_ms=%d", size, oldest.Milliseconds())
+			require.LessOrEqual(t, oldest, maxAge)
+		})
+	}
+}
+
+// oldestUpdate returns the age of the oldest update by which a node knows another one.
+func oldestUpdate(t *testing.T, nodes []*Node) (oldest time.Duration) {
+	t.Helper()
+	for _, node := range nodes {
+		inspectView(t, node, func(view *membership.View) {
+			for _, member := range view.Members() {
+				if member.ID != node.LocalID() {
+					oldest = max(oldest, member.Age(view.Now()).Duration())
+				}
+			}
+		})
+	}
+	return oldest
+}
