A tenant's queued requests move with its usage, so its cluster share holds

Callers saw: a tenant that sends to one server of three and is entitled to a quarter of the cluster was served 0 to 53 requests a second where 37 are its share (TestMeasuredTenantsOverTheCluster: 0.211 to 0.268 in 8 s, bound 0.22 to 0.28). Cause, from a trace of tags four times a second: start tags were fixed on arrival, up to 4 s early, so reports moved later requests only; a dropped or cheaper request left a gap before those behind it (131 requests over 21 s of virtual time came to 111 over 1.4 s: 5 s of both cores); the expected delay used the rate of the last second, which is all or nothing between reports; and where both tenants send everywhere each server made up for the whole imbalance. Change: a flow's queued requests become eligible one after the other at its present finish tag (admission.Turn, admission/flows.go) and are charged then; the expected delay uses the average of some seconds where servers report; reports are charged with a time constant of 1 s for each server at which named tenants compete.

--- a/admission/host.go
+++ b/admission/host.go
@@ -48,10 +48,13 @@
 	// Cacheable reports whether the result may be shared with other requests for a while (Config.ResultTTL).
 	Cacheable bool
 
-	// StartTag is the virtual time at which the request becomes eligible (Server.VirtualTime). Until then it waits
-	// while other requests are eligible. With 0 the request is eligible at once.
+	// StartTag is the virtual time at which the request is expected to become eligible (Server.VirtualTime). Until then
+	// it waits while other requests are eligible. With 0 the request is eligible at once.
 	StartTag float64
 
+	// Turn decides when the request becomes eligible if it has to wait; nil means at StartTag.
+	Turn Turn
+
 	// ExpectedDelay is the time that the requests of the same tenant ahead of this one will take; 0 if not known.
 	ExpectedDelay timeunit.Ticks
 }
--- a/admission/order.go
+++ b/admission/order.go
@@ -56,9 +56,9 @@
 	if request.isEligible {
 		return delay
 	}
-	first, found := s.queue.byStartTag.Min()
-	if found && passedBudgetCheck(first) && first.startTag <= request.startTag {
-		delay = max(delay, s.now-first.arrivedAt)
+	next, found := s.queue.flows.next()
+	if found && passedBudgetCheck(next.first()) && next.startTag <= request.startTag {
+		delay = max(delay, s.now-next.first().arrivedAt)
 	}
 	return delay
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -20,8 +20,9 @@
 	arrivals           []*Request                // requests of this batch, whose queueing budgets are not checked yet
 	awaited            []*Request                // others wait for their results; those still queued start next
 	eligibleByCategory []*btree.BTreeG[*Request] // one tree by soft deadline per category
-	byStartTag         *btree.BTreeG[*Request]
-	virtualTime        float64 // requests with a later start tag wait while any eligible request is queued
+	byStartTag         *btree.BTreeG[*Request]   // those that are not eligible, by Arrival.StartTag
+	flows              flowQueues                // the same requests, in the order in which they become eligible
+	virtualTime        float64                   // later start tags wait while any eligible request is queued
 	lastSequence       uint64
 	length             int
 	searchKey          Request // key at which a search of a tree starts
@@ -34,7 +35,7 @@
 	byStartTag := func(a, b *Request) bool {
 		return cmp.Or(cmp.Compare(a.startTag, b.startTag), cmp.Compare(a.sequence, b.sequence)) < 0
 	}
-	q := requestQueue{byStartTag: btree.NewG(treeDegree, byStartTag)}
+	q := requestQueue{byStartTag: btree.NewG(treeDegree, byStartTag), flows: newFlowQueues()}
 	for range categories {
 		q.eligibleByCategory = append(q.eligibleByCategory, btree.NewG(treeDegree, bySoftDeadline))
 	}
@@ -46,7 +47,11 @@
 	q.lastSequence++
 	q.length++
 	request.sequence = q.lastSequence
-	request.isEligible = request.startTag <= q.virtualTime
+	if request.startTag <= q.virtualTime && q.flows.of(request) == nil {
+		request.beginTurn(q.virtualTime)
+	} else {
+		q.flows.add(request)
+	}
 	q.treeOf(request).ReplaceOrInsert(request)
 	q.arrivals = append(q.arrivals, request)
 }
@@ -55,6 +60,9 @@
 func (q *requestQueue) remove(request *Request) {
 	q.length--
 	q.treeOf(request).Delete(request)
+	if !request.isEligible {
+		q.flows.remove(request)
+	}
 }
 
 // treeOf returns the tree that holds the request.
@@ -74,18 +82,24 @@
 // advanceVirtualTime moves virtual time to the lowest queued start tag if no eligible request is queued. It then makes
 // the requests eligible whose start tags virtual time has reached.
 func (q *requestQueue) advanceVirtualTime() {
-	next, found := q.byStartTag.Min()
+	flow, found := q.flows.next()
 	if found && q.byStartTag.Len() == q.length {
-		q.virtualTime = max(q.virtualTime, next.startTag)
+		q.virtualTime = max(q.virtualTime, flow.startTag)
 	}
-	for found && next.startTag <= q.virtualTime {
-		q.byStartTag.DeleteMin()
-		next.isEligible = true
-		q.treeOf(next).ReplaceOrInsert(next)
-		next, found = q.byStartTag.Min()
+	for found && flow.startTag <= q.virtualTime {
+		q.makeEligible(flow.first())
+		flow, found = q.flows.next()
 	}
 }
 
+// makeEligible moves a queued request to the eligible ones.
+func (q *requestQueue) makeEligible(request *Request) {
+	q.byStartTag.Delete(request)
+	request.beginTurn(q.virtualTime)
+	q.flows.remove(request)
+	q.treeOf(request).ReplaceOrInsert(request)
+}
+
 // firstFrom returns the first request of the tree with softDeadline or a later one that passes the test, or nil.
 func (q *requestQueue) firstFrom(
 	tree *btree.BTreeG[*Request], softDeadline timeunit.Ticks, matches func(*Request) bool,
--- a/admission/request.go
+++ b/admission/request.go
@@ -1,6 +1,10 @@
 package admission
 
-import "thistlequay/timeunit"
+import (
+	"container/list"
+
+	"thistlequay/timeunit"
+)
 
 // requestState is the stage of processing that a request has reached.
 type requestState int
@@ -33,7 +37,10 @@
 	entryUntil   timeunit.Ticks // until when it owns an idempotency entry; 0 if it owns none
 
 	queuedKB      float64
-	startTag      float64        // virtual time at which it becomes eligible
+	startTag      float64        // Arrival.StartTag
+	turn          Turn           // Arrival.Turn
+	flow          *flowQueue     // queue that holds it while it is not eligible
+	flowElement   *list.Element  // its element there
 	expectedDelay timeunit.Ticks // Arrival.ExpectedDelay
 	sequence      uint64         // order of arrival
 
@@ -48,6 +55,22 @@
 // isResolved reports whether the request needs no answer any more.
 func (r *Request) isResolved() bool { return r.isAnswered || r.isCancelled }
 
+// currentStartTag returns the virtual time at which the request becomes eligible if it is the next one of its flow.
+func (r *Request) currentStartTag() float64 {
+	if r.turn == nil {
+		return r.startTag
+	}
+	return r.turn.StartTag()
+}
+
+// beginTurn makes the request eligible.
+func (r *Request) beginTurn(virtualTime float64) {
+	r.isEligible = true
+	if r.turn != nil {
+		r.turn.Begin(virtualTime)
+	}
+}
+
 // value returns the priority of the request in the queue: the value of starting it now, per tick of run time.
 func (r *Request) value() float64 { return r.category.valueAt(r.softDeadline - r.server.now) }
 
@@ -190,7 +213,11 @@
 		s.memory.usedKB -= s.memory.extraKB(request.queuedKB)
 	}
 	request.state = stateFinished
+	flow := s.queue.flows.of(request)
 	s.host.Release(request)
+	if flow != nil {
+		s.queue.flows.update(flow) // the request may have cost less than expected
+	}
 	if request.entryUntil > 0 {
 		s.timers.set(request, request.entryUntil) // when the memory of the entry is released
 	} else {
--- a/admission/server.go
+++ b/admission/server.go
@@ -110,6 +110,7 @@
 		heapIndex:     notInHeap,
 		queuedKB:      arrival.QueuedKB,
 		startTag:      arrival.StartTag,
+		turn:          arrival.Turn,
 		expectedDelay: arrival.ExpectedDelay,
 		isCacheable:   arrival.Cacheable && category.Idempotency == Idempotent && s.entries.resultTTL > 0,
 	}
--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -30,6 +30,9 @@
 	// the flow's next request, apart from the burst allowance and the overrun.
 	finishTag float64
 
+	// queuedCost is the expected cost of the open reservations that are not charged yet.
+	queuedCost float64
+
 	openReservations int
 	runningRequests  int     // started requests that need a core, so not the suspended ones
 	startTimeSum     float64 // sum of the running requests' start times on the core clock
@@ -39,7 +42,9 @@
 
 	localUsageSinceMeasured  float64 // core time used on this server since the last measurement
 	remoteUsageSinceMeasured float64 // core time used on other servers since the last measurement
-	recentRate               float64 // core time per tick here and on other servers, as an exponential moving average
+	pendingRemoteUsage       float64 // core time used on other servers that is not charged yet
+	recentLocalRate          float64 // core time per tick used here, as an exponential moving average
+	recentRemoteRate         float64 // the same on other servers
 	recentUsage              float64 // core time used on this server, decaying exponentially
 	totalLocalUsage          float64 // core time used on this server since the process started
 
@@ -74,12 +79,28 @@
 	}
 }
 
-// expectedRate returns the core time per tick that the flow can count on: its share among the active flows, or the
-// measured rate if that is higher because other flows leave part of their share unused.
+// expectedRate returns the core time per tick that the flow can count on here: its share among the active flows less
+// what it uses on other servers, or the measured rate if that is higher because other flows leave part of their share
+// unused.
 func (f *flow) expectedRate(measuredRate float64) float64 {
 	s := f.scheduler
 	weight := f.weight()
-	return max(measuredRate, s.serviceRate*weight/max(weight, s.activeWeight), minRate)
+	return max(measuredRate, s.serviceRate*weight/max(weight, s.activeWeight)-f.recentRemoteRate, minRate)
+}
+
+// servedRate returns the core time per tick at which the flow's queue on this server is served. While other servers
+// report their usage, that rate changes with each report and is averaged over several of them.
+func (f *flow) servedRate() float64 {
+	if len(f.scheduler.remoteServers) > 0 {
+		return f.longTermRate()
+	}
+	return f.recentLocalRate
+}
+
+// startTag returns the virtual time at which the next request of the flow becomes eligible.
+func (f *flow) startTag() float64 {
+	s := f.scheduler
+	return max(f.finishTag, s.MinStartTag(s.virtualTime)) + f.overrun()/f.weight()
 }
 
 // longTermRate returns the core time per tick that the flow got on this server, averaged over several seconds.
@@ -95,8 +116,8 @@
 // updateUsage adds the core time used since the last measurement, elapsedTicks ago, to the flow's recent rate and
 // usage. rateRetained and usageRetained are the fractions of the previous values that are retained.
 func (f *flow) updateUsage(elapsedTicks, rateRetained, usageRetained float64) {
-	f.recentRate = f.recentRate*rateRetained +
-		(f.localUsageSinceMeasured+f.remoteUsageSinceMeasured)/elapsedTicks*(1-rateRetained)
+	f.recentLocalRate = f.recentLocalRate*rateRetained + f.localUsageSinceMeasured/elapsedTicks*(1-rateRetained)
+	f.recentRemoteRate = f.recentRemoteRate*rateRetained + f.remoteUsageSinceMeasured/elapsedTicks*(1-rateRetained)
 	f.recentUsage = (f.recentUsage + f.localUsageSinceMeasured) * usageRetained
 	f.localUsageSinceMeasured = 0
 	f.remoteUsageSinceMeasured = 0
--- a/internal/fairqueue/golden_test.go
+++ b/internal/fairqueue/golden_test.go
@@ -12,7 +12,7 @@
 
 // recordReservation appends the start tag and the expected delay of a reservation to the history.
 func recordReservation(history *golden.History, r *Reservation, now timeunit.Ticks) {
-	history.Add(now, r.StartTag, r.ExpectedDelay)
+	history.Add(now, r.ExpectedStartTag, r.ExpectedDelay)
 }
 
 // recordScheduler appends the statistics and the local usage of a scheduler to the history.
@@ -52,7 +52,7 @@
 			r := s.Reserve(tenant, random.Intn(2), virtualTime, now)
 			recordReservation(history, &r, now)
 			open = append(open, &r)
-			virtualTime = max(virtualTime, r.StartTag*random.Float64())
+			virtualTime = max(virtualTime, r.ExpectedStartTag*random.Float64())
 		case action < 40:
 			r := s.Reserve(fmt.Append(nil, "new-", random.Intn(1000)), random.Intn(2), virtualTime, now)
 			recordReservation(history, &r, now)
--- a/internal/fairqueue/remoteusage.go
+++ b/internal/fairqueue/remoteusage.go
@@ -20,6 +20,10 @@
 	// maxReportGap is the longest gap, in ticks, between two reports of an incarnation. After a longer gap the next
 	// report is treated as the first one.
 	maxReportGap = 2 * maxReportAge
+
+	// chargeTimePerServer is 1 s in ticks, about the time between two reports of a server. Remote usage is charged over
+	// this time for each server at which tenants compete, see chargePending.
+	chargeTimePerServer = 10_000
 )
 
 // Usage is the core time, in ticks, that a named tenant has used on one incarnation of a server since the incarnation
@@ -33,6 +37,7 @@
 type remoteServer struct {
 	lastReport       timeunit.Ticks
 	reportedCoreTime map[string]float64 // total core time by tenant
+	activeTenants    int                // named tenants whose totals grew in the last report in which any did
 }
 
 // LocalUsage returns the core time that each named tenant has used on this server, ordered by recent usage, highest
@@ -69,6 +74,7 @@
 		s.remoteServers[incarnation] = server
 	}
 	isRecent := age >= 0 && age <= maxReportAge && s.now-server.lastReport <= maxReportGap
+	activeTenants := 0
 	for _, usage := range usages {
 		flow := s.namedFlows[usage.Tenant]
 		previous := server.reportedCoreTime[usage.Tenant]
@@ -76,13 +82,50 @@
 			continue
 		}
 		server.reportedCoreTime[usage.Tenant] = usage.CoreTime
+		activeTenants++
 		if isRecent {
-			flow.chargeRemoteUsage(usage.CoreTime - previous)
+			flow.pendingRemoteUsage += usage.CoreTime - previous
+			flow.remoteUsageSinceMeasured += usage.CoreTime - previous
 		}
 	}
+	if activeTenants > 0 {
+		server.activeTenants = activeTenants
+	}
+	s.chargePending(0)
 	server.lastReport = s.now - max(0, age)
 }
 
+// chargePending charges the part of the reported usage that is due after elapsedTicks ticks.
+//
+// If named tenants compete at no other server, all of it is due at once. Otherwise all servers at which they compete
+// react to the same imbalance, each as if it were alone, and at once they would correct it several times over. The
+// usage is therefore charged gradually, with a time constant that is proportional to the number of those servers.
+func (s *Scheduler) chargePending(elapsedTicks float64) {
+	fraction := 1.0
+	if s.contendedServers > 1 {
+		timeConstant := float64(chargeTimePerServer * s.contendedServers)
+		fraction = elapsedTicks / (elapsedTicks + timeConstant)
+	}
+	for _, flow := range s.namedFlows {
+		due := flow.pendingRemoteUsage * fraction
+		flow.pendingRemoteUsage -= due
+		if due > 0 {
+			flow.chargeRemoteUsage(due)
+		}
+	}
+}
+
+// countContendedServers returns the number of servers at which several named tenants are served, this one included.
+func (s *Scheduler) countContendedServers() int {
+	count := 1
+	for _, server := range s.remoteServers {
+		if server.activeTenants > 1 && s.now-server.lastReport <= maxReportGap {
+			count++
+		}
+	}
+	return count
+}
+
 // chargeRemoteUsage advances the finish tag by core time used on another server, but no further ahead of the virtual
 // time than the work of all servers within maxReportAge.
 func (f *flow) chargeRemoteUsage(coreTime float64) {
@@ -95,7 +138,6 @@
 	} else {
 		f.finishTag = max(f.finishTag, maxTag)
 	}
-	f.remoteUsageSinceMeasured += coreTime
 }
 
 // evictRemoteServers removes incarnations that have not reported for longer than maxReportGap. If the table is still
--- a/internal/fairqueue/remoteusage_test.go
+++ b/internal/fairqueue/remoteusage_test.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		r := f.servers[server].Reserve([]byte(candidate.Name), 0, f.virtualTimes[server], start)
-		if tenant != "" && r.StartTag >= next.StartTag {
+		if tenant != "" && r.ExpectedStartTag >= next.ExpectedStartTag {
 			r.Release(start)
 			continue
 		}
@@ -105,8 +105,8 @@
 	if tenant == "" {
 		return ""
 	}
-	f.virtualTimes[server] = max(f.virtualTimes[server], next.StartTag)
-	f.history.Add(now, server, tenant, next.StartTag, next.ExpectedDelay)
+	f.virtualTimes[server] = max(f.virtualTimes[server], next.ExpectedStartTag)
+	f.history.Add(now, server, tenant, next.ExpectedStartTag, next.ExpectedDelay)
 	next.Start(start)
 	next.Release(now)
 	return tenant
--- a/internal/fairqueue/reservation.go
+++ b/internal/fairqueue/reservation.go
@@ -35,18 +35,19 @@
 // that did not run is charged nothing in the end. The zero Reservation belongs to no flow: it charges nothing, and its
 // methods that change a reservation have no effect.
 type Reservation struct {
-	// StartTag is the virtual start tag of the request.
-	StartTag float64
+	// ExpectedStartTag is the virtual time at which the request is expected to become eligible.
+	ExpectedStartTag float64
 
-	// ExpectedDelay is the estimated time until the virtual time reaches StartTag, assuming that the tenant's rate does
-	// not change.
+	// ExpectedDelay is the estimated time until the virtual time reaches ExpectedStartTag, assuming that the rate at
+	// which the tenant is served here does not change.
 	ExpectedDelay timeunit.Ticks
 
 	flow         *flow
 	tenantHash   uint64
 	category     int
 	state        reservationState
-	expectedCost float64 // core time in ticks that was charged on arrival
+	expectedCost float64 // core time in ticks that is charged when the request becomes eligible
+	isCharged    bool    // the expected cost is charged
 	weight       float64 // the flow's weight when the expected cost was charged
 	startedAt    float64 // start time on the core clock, moved forward by the time spent suspended
 	suspendedAt  float64 // time of the last suspension on the core clock
@@ -67,29 +68,50 @@
 	if flow.kind == sharedFlow {
 		s.candidates.observe(hash, s.now)
 	}
-	flow.finishTag = max(flow.finishTag, s.MinStartTag(virtualTime))
 	r := Reservation{
-		StartTag:     flow.finishTag + flow.overrun()/weight,
-		flow:         flow,
-		tenantHash:   hash,
-		category:     category,
-		state:        stateQueued,
-		expectedCost: s.typicalCosts[category] * flow.costFactor,
-		weight:       weight,
+		ExpectedStartTag: flow.startTag() + flow.queuedCost/weight,
+		flow:             flow,
+		tenantHash:       hash,
+		category:         category,
+		state:            stateQueued,
+		expectedCost:     s.typicalCosts[category] * flow.costFactor,
 	}
-	if workAhead := (r.StartTag - virtualTime) * weight; workAhead > 0 {
-		r.ExpectedDelay = timeunit.Ticks(min(workAhead/flow.expectedRate(flow.recentRate), maxExpectedDelay))
+	if workAhead := (r.ExpectedStartTag - virtualTime) * weight; workAhead > 0 {
+		r.ExpectedDelay = timeunit.Ticks(min(workAhead/flow.expectedRate(flow.servedRate()), maxExpectedDelay))
 	}
-	flow.finishTag += r.expectedCost / weight
+	flow.queuedCost += r.expectedCost
 	return r
 }
 
+// Flow identifies the flow of the request. It implements admission.Turn.
+func (r *Reservation) Flow() any { return r.flow }
+
+// StartTag returns the virtual time at which the next request of the flow becomes eligible. It implements
+// admission.Turn.
+func (r *Reservation) StartTag() float64 { return r.flow.startTag() }
+
+// Begin charges the expected cost of the request to its flow, once it has become eligible at the given virtual time. It
+// implements admission.Turn.
+func (r *Reservation) Begin(virtualTime float64) {
+	if r.flow == nil || r.isCharged || r.state == stateReleased {
+		return
+	}
+	flow := r.flow
+	s := flow.scheduler
+	s.virtualTime = virtualTime
+	r.isCharged = true
+	r.weight = flow.weight()
+	flow.queuedCost = max(0, flow.queuedCost-r.expectedCost)
+	flow.finishTag = max(flow.finishTag, s.MinStartTag(virtualTime)) + r.expectedCost/r.weight
+}
+
 // Start records that the request starts to run.
 func (r *Reservation) Start(now timeunit.Ticks) {
 	if r.flow == nil || r.state != stateQueued {
 		return
 	}
 	r.flow.scheduler.advance(now)
+	r.Begin(r.flow.scheduler.virtualTime)
 	r.startedAt = r.flow.scheduler.coreClock
 	r.occupyCore()
 }
@@ -163,7 +185,11 @@
 		cost = r.suspendedAt - r.startedAt
 		r.recordCost(cost)
 	}
-	flow.finishTag += (cost - r.expectedCost) / r.weight
+	if r.isCharged {
+		flow.finishTag += (cost - r.expectedCost) / r.weight
+	} else {
+		flow.queuedCost = max(0, flow.queuedCost-r.expectedCost)
+	}
 	flow.openReservations--
 	r.state = stateReleased
 }
--- a/internal/fairqueue/reservation_test.go
+++ b/internal/fairqueue/reservation_test.go
@@ -60,8 +60,8 @@
 	first := reserve("tenant-0")
 	second := reserve("tenant-1")
 	third := reserve("tenant-2")
-	require.InDelta(t, first.StartTag, second.StartTag, 1e-6)
-	require.InDelta(t, s.MinStartTag(virtualTime), third.StartTag, 1e-6)
+	require.InDelta(t, first.ExpectedStartTag, second.ExpectedStartTag, 1e-6)
+	require.InDelta(t, s.MinStartTag(virtualTime), third.ExpectedStartTag, 1e-6)
 	recordReservation(history, first, now)
 	recordReservation(history, second, now)
 	recordReservation(history, third, now)
@@ -109,3 +109,33 @@
 		})
 	}
 }
+
+// Guards against tenants that swing between all and nothing: a request that was dropped from the queue, or cost less
+// than expected, left a gap before the start tags of the requests behind it.
+func TestQueuedRequestsAreChargedWhenTheyBecomeEligible(t *testing.T) {
+	const virtualTime = 0.0
+	s := New(testConfig(2), rand.New(rand.NewSource(1)), 0)
+	reserve := func() *Reservation {
+		r := s.Reserve([]byte("tenant-0"), 0, virtualTime, 0)
+		return &r
+	}
+	first, dropped, last := reserve(), reserve(), reserve()
+	initialTag := first.StartTag()
+	step := dropped.ExpectedStartTag - first.ExpectedStartTag
+	require.Positive(t, step)
+	require.InDelta(t, initialTag+2*step, last.ExpectedStartTag, 1e-6)
+	require.InDelta(t, initialTag, last.StartTag(), 1e-6, "queued requests are not charged")
+
+	first.Begin(virtualTime)
+	first.Begin(virtualTime)
+	require.InDelta(t, initialTag+step, last.StartTag(), 1e-6, "charged once")
+	dropped.Release(0)
+	require.InDelta(t, initialTag+step, last.StartTag(), 1e-6, "a dropped request leaves no gap")
+	first.Start(0)
+	first.Release(0)
+	require.InDelta(t, initialTag, last.StartTag(), 1e-6, "a request that cost nothing is charged nothing")
+
+	s.RecordRemoteUsage("other", 0, []Usage{{Tenant: "tenant-0", CoreTime: 1}}, 0)
+	s.RecordRemoteUsage("other", 0, []Usage{{Tenant: "tenant-0", CoreTime: 1001}}, 0)
+	require.InDelta(t, initialTag+1000/last.flow.weight(), last.StartTag(), 1e-6, "usage elsewhere counts at once")
+}
--- a/internal/fairqueue/scenario_test.go
+++ b/internal/fairqueue/scenario_test.go
@@ -145,7 +145,7 @@
 	recordReservation(s.history, &r, s.now)
 	for _, arg := range args[2:] {
 		key, text, _ := strings.Cut(arg, "=")
-		got := map[string]float64{"tag": r.StartTag, "delay": milliseconds(r.ExpectedDelay)}[key]
+		got := map[string]float64{"tag": r.ExpectedStartTag, "delay": milliseconds(r.ExpectedDelay)}[key]
 		s.InDelta(s.number(text), got, 0.11, s.position)
 	}
 }
--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -71,6 +71,10 @@
 	candidates    candidateTable
 	remoteServers map[string]*remoteServer
 
+	// contendedServers is the number of servers at which several named tenants are served, this one included, at the
+	// last measurement.
+	contendedServers int
+
 	hashSeed   uint64 // seed of the hash that identifies tenants
 	rehashSalt uint64 // salt of the hash that selects a tenant's shared flow
 	rehashedAt timeunit.Ticks
@@ -108,6 +112,8 @@
 		rehashSalt:    random.Uint64(),
 		candidates:    newCandidateTable(maxCandidates),
 		serviceRate:   float64(config.Cores),
+
+		contendedServers: 1,
 	}
 	for _, deadline := range config.SoftDeadlines {
 		s.typicalCosts = append(s.typicalCosts, max(1, float64(deadline)*initialCostFraction))
@@ -243,6 +249,8 @@
 	elapsedTicks := float64(s.now - s.measuredAt)
 	s.measuredAt = s.now
 	s.updateServiceRate(elapsedTicks)
+	s.contendedServers = s.countContendedServers()
+	s.chargePending(elapsedTicks)
 	intervals := int(elapsedTicks / measureInterval)
 	rateRetained := compoundDecay(rateDecay, min(intervals, maxRateDecayIntervals))
 	usageRetained := compoundDecay(usageDecay, min(intervals, maxUsageDecayIntervals))
--- a/internal/fairqueue/scheduler_test.go
+++ b/internal/fairqueue/scheduler_test.go
@@ -125,7 +125,7 @@
 	if len(b.tenants) > 0 {
 		tenant := b.tenants[b.arrivals*7919%len(b.tenants)]
 		r := b.scheduler.Reserve(tenant, arrival.Category, b.server.VirtualTime(), b.now)
-		arrival.StartTag = r.StartTag
+		arrival.StartTag = r.ExpectedStartTag
 		r.Release(b.now)
 	}
 	b.arrivals++
--- a/internal/gossip/config.go
+++ b/internal/gossip/config.go
@@ -32,9 +32,9 @@
 	// retransmitMultiplier times the logarithm of the number of members is the number of members to which each member
 	// passes an update on.
 	retransmitMultiplier = 1
-	// In a cluster of fewer than smallClusterMembers, each member would pass an update on to one other, often its sender.
-	// There an update is passed on as often as in a cluster of smallClusterRetransmitMembers: four times, which is what
-	// memberlist does in small clusters by default.
+	// In a cluster of fewer than smallClusterMembers, each member would pass an update on to one other, often to its
+	// sender. There an update is passed on as often as in a cluster of smallClusterRetransmitMembers: four times, which
+	// is what memberlist does in small clusters by default.
 	smallClusterMembers           = 10
 	smallClusterRetransmitMembers = 1000
 	// delegateProtocolVersion is the version of the delegate's messages. All members must use the same version.
--- a/internal/server/fairqueue.go
+++ b/internal/server/fairqueue.go
@@ -57,7 +57,8 @@
 	}
 	virtualTime := p.server.admission.VirtualTime()
 	admitted.reservation = p.scheduler.Reserve(tenant, admitted.category, virtualTime, p.server.now)
-	arrival.StartTag = admitted.reservation.StartTag
+	arrival.StartTag = admitted.reservation.ExpectedStartTag
+	arrival.Turn = &admitted.reservation
 	arrival.ExpectedDelay = admitted.reservation.ExpectedDelay
 }
 
--- a/internal/simulation/host.go
+++ b/internal/simulation/host.go
@@ -64,7 +64,8 @@
 	if h.fairQueue != nil {
 		r.reservation = h.fairQueue.Reserve([]byte(attempt.Tenant), attempt.Stream.Category, h.server.VirtualTime(),
 			h.ticks())
-		arrival.StartTag = r.reservation.StartTag
+		arrival.StartTag = r.reservation.ExpectedStartTag
+		arrival.Turn = &r.reservation
 		arrival.ExpectedDelay = r.reservation.ExpectedDelay
 	}
 	r.handle = h.server.Enqueue(arrival)
