Late responses of a stopped process are told from others in the quota test

Cause: TestQuotaIsNeverExceededThroughFaults printed past_deadline and checked none of it, as it stops processes with SIGSTOP; a late response that no stop explains passed unseen. Change: clustertest records when a server was stopped; a response is late without reason if it comes more than 50 ms after its deadline and after the end of a stop that lay across it. New count LateWithoutPause and a subtest of its own. No other check changes.

--- a/internal/clustertest/attempt.go
+++ b/internal/clustertest/attempt.go
@@ -66,16 +66,22 @@
 	case <-time.After(timeLeft + responseWaitAfterDeadline):
 		result.err = errNoResponse
 	}
-	elapsed := time.Since(sentAt)
+	answeredAt := time.Now()
 	server.Interpreter.RequestEnded(id)
 
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	switch {
 	case result.err == nil:
-		if elapsed > timeLeft+deadlineSlack {
+		due := sentAt.Add(timeLeft)
+		if answeredAt.Sub(due) > deadlineSlack {
 			r.stats.PastDeadline++
 		}
+		limit := server.pauses.timeLimit(sentAt, due, deadlineSlack, answeredAt)
+		if answeredAt.After(limit) {
+			r.stats.LateWithoutPause++
+			r.cluster.Record(server.Name, "request %s answered %v after its time limit", id, answeredAt.Sub(limit))
+		}
 		return result.Status
 	case writeError != nil || r.killed[server] || connection.isDead():
 		r.stats.Unsent++
--- a/internal/clustertest/harness_quota_test.go
+++ b/internal/clustertest/harness_quota_test.go
@@ -178,6 +178,7 @@
 		l.stats.Requests += stats.Requests
 		l.stats.OnTime += stats.OnTime
 		l.stats.PastDeadline += stats.PastDeadline
+		l.stats.LateWithoutPause += stats.LateWithoutPause
 	}
 }
 
--- a/internal/clustertest/quota_test.go
+++ b/internal/clustertest/quota_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"thistlequay/internal/clustertest"
 	"thistlequay/internal/command"
 	"thistlequay/internal/emulator"
@@ -59,9 +61,12 @@
 
 	stats := f.load.stop()
 	t.Logf("measured quota-faults servers=5 total=%d over=%d peak=%d requests=%d on_time=%d past_deadline=%d "+
-		"granted_again_ms=%d", totalCalls, f.peaks.exceeded, f.peaks.maxPeak, stats.Requests, stats.OnTime,
-		stats.PastDeadline, granted.Milliseconds())
+		"late_without_pause=%d granted_again_ms=%d", totalCalls, f.peaks.exceeded, f.peaks.maxPeak, stats.Requests,
+		stats.OnTime, stats.PastDeadline, stats.LateWithoutPause, granted.Milliseconds())
 	cluster.Zero(f.peaks.exceeded)
+	t.Run("late_only_while_stopped", func(t *testing.T) {
+		require.Zero(t, stats.LateWithoutPause, "late though the process was not stopped: %v", cluster.History())
+	})
 	cluster.Greater(stats.OnTime, stats.Requests/10)
 	cluster.requireSharesCommand(cluster.waitForLeader(all), all[2])
 }
--- a/internal/clustertest/routers.go
+++ b/internal/clustertest/routers.go
@@ -61,6 +61,9 @@
 	Unanswered int
 	// PastDeadline is the number of attempts answered more than 50 ms after their deadline.
 	PastDeadline int
+	// LateWithoutPause is the part of PastDeadline that no stop of the server's process with SIGSTOP explains. It must
+	// be 0 even if the test stops processes.
+	LateWithoutPause int
 	// DuplicateRuns counts, over all servers, the runs of a request body after the first one on the same server.
 	DuplicateRuns int
 	// Unsent is the number of attempts without a response for which no server is at fault: the connection was refused,
--- a/internal/clustertest/server.go
+++ b/internal/clustertest/server.go
@@ -42,6 +42,7 @@
 	relay       *relay // nil without gossip
 	process     *exec.Cmd
 	exited      chan struct{} // closed when process has ended
+	pauses      pauseHistory  // of all processes so far
 	args        []string      // appended to the command line
 	keys        string        // gossip keys, in base64, one per line
 	clusterName string        // name of the cluster
@@ -224,7 +225,7 @@
 // Signal sends a signal to the process and records it in the history.
 func (s *Server) Signal(signal os.Signal) error {
 	s.cluster.Record(s.Name, "%v", signal)
-	return s.process.Process.Signal(signal)
+	return s.pauses.send(signal, s.process.Process.Signal)
 }
 
 // Kill sends SIGKILL to the process and waits for it to end. Afterwards, connections to its gossip address are refused.
