--- a/admission/doc.go
+++ b/admission/doc.go
@@ -28,9 +28,9 @@
 //   - budget.go rejects a request that would wait longer than its queueing budget when it joins the queue
 //     (section 3.4), and repeats the check before a downstream call.
 //
-// The rest of the package protects hard limits or handles cases that the paper does not cover: queue.go and order.go
-// (the order of the queue), cores.go (gauges and the overload threshold), slowstart.go, memory.go, idempotency.go,
-// calls.go, downstream.go and turns.go (downstream calls), retries.go and feedback.go (routers), drain.go, timers.go,
-// histogram.go, warmstart.go. The doc comment of each type says which of the two it does. docs/design.md has the
-// reasons and the measurements.
+// The rest of the package protects hard limits or handles cases that the paper does not cover: queue.go, flows.go and
+// order.go (the order of the queue), cores.go (gauges and the overload threshold), slowstart.go, memory.go,
+// idempotency.go, calls.go, downstream.go and turns.go (downstream calls), retries.go and feedback.go (routers),
+// drain.go, timers.go, histogram.go, warmstart.go. The doc comment of each type says which of the two it does.
+// docs/design.md has the reasons and the measurements.
 package admission
--- a/admission/flows.go
+++ b/admission/flows.go
@@ -8,7 +8,8 @@
 )
 
 // Turn tells when a queued request becomes eligible. Requests of one flow, for example of one tenant, become eligible
-// one after the other in the order of their arrival.
+// one after the other in the order of their arrival. No method may call back into the package, and none is called after
+// Host.Release of the request.
 type Turn interface {
 	// Flow identifies the flow of the request.
 	Flow() any
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -13,9 +13,9 @@
 
 // requestQueue holds the requests that wait to start. Eligible requests are sorted by soft deadline, one tree per
 // category, because within a category only the soft deadline decides about their value. Requests whose start tag is
-// later than virtual time are beyond their tenant's fair share and are sorted by start tag. Each operation takes time
-// logarithmic in the number of queued requests and independent of the number of tenants. The queue never answers a
-// request by itself.
+// later than virtual time are beyond their tenant's fair share and wait in flows, which are sorted by start tag. Each
+// operation takes time logarithmic in the number of queued requests and independent of the number of tenants. The queue
+// never answers a request by itself.
 type requestQueue struct {
 	arrivals           []*Request                // requests of this batch, whose queueing budgets are not checked yet
 	awaited            []*Request                // others wait for their results; those still queued start next
--- a/internal/fairqueue/scheduler.go
+++ b/internal/fairqueue/scheduler.go
@@ -1,11 +1,12 @@
-// Package fairqueue divides a server's core time among tenants by weight. It gives each request a virtual start tag, by
-// which the admission queue orders requests. It accounts for the core time that requests actually used, and computes
-// when the client of a rejected request should retry.
+// Package fairqueue divides a server's core time among tenants by weight. It gives each tenant's next request a virtual
+// start tag, by which the admission queue orders tenants. It accounts for the core time that requests actually used,
+// and computes when the client of a rejected request should retry.
 //
 // The algorithm is start-time fair queueing (Goyal, Vin and Cheng, 1996). The start tag of a request is the finish tag
 // of its flow, but at most a burst allowance behind the server's virtual time. The finish tag advances by the core time
-// charged to the flow divided by the flow's weight. A request is charged an expected cost when it arrives; when it
-// ends, its measured cost replaces the expected one.
+// charged to the flow divided by the flow's weight. A request is charged an expected cost when its start tag is
+// reached; when it ends, its measured cost replaces the expected one. A queued request is not charged. Its start tag is
+// that of its flow, so it moves with everything that the flow is charged or given back meanwhile.
 //
 // A flow holds the state of one named tenant, of one heavy hitter among the tenants that are not named, or of all
 // tenants that hash into one shared flow.
