Fair queue: no empty pass over tenants at each report; repeated steps are one

Cause, found by reading the change again: each usage report walked over all named tenants to charge nothing while tenants compete at several servers; flowQueues.next repeated update; two places subtracted a queued cost; two tests built the same server. Change: the pass is made only if something is due; next calls update; subtractQueuedCost; newFlowServer. No decision and no check changes.

--- a/admission/flows.go
+++ b/admission/flows.go
@@ -102,8 +102,7 @@
 func (f *flowQueues) next() (flow *flowQueue, found bool) {
 	flow, found = f.byStartTag.Min()
 	for found && flow.first().currentStartTag() > flow.startTag {
-		f.byStartTag.Delete(flow)
-		f.insert(flow)
+		f.update(flow)
 		flow, found = f.byStartTag.Min()
 	}
 	return flow, found
--- a/admission/flows_test.go
+++ b/admission/flows_test.go
@@ -21,10 +21,19 @@
 func (t testTurn) StartTag() float64 { return t.flow.startTag }
 func (t testTurn) Begin(float64)     { t.flow.startTag += t.cost }
 
+// newFlowServer returns a server with one category, whose requests may wait for long.
+func newFlowServer() *Server {
+	category := Category{Weight: 1, SoftDeadline: 1e6, Deadline: 1e7}
+	config := Config{Cores: 1, MemoryKB: 1e9, RunMemoryFactor: 2, Categories: []Category{category}}
+	return New(config, noopHost{}, 0)
+}
+
 // enqueueInFlow enqueues a request of a flow that has to wait.
 func enqueueInFlow(server *Server, flow *testFlow, id uint64) *Request {
 	expectedStartTag := flow.startTag + float64(id)
-	return server.Enqueue(Arrival{ID: id, QueuedKB: 1, StartTag: expectedStartTag, Turn: testTurn{flow, 1}})
+	request := server.Enqueue(Arrival{ID: id, QueuedKB: 1, StartTag: expectedStartTag, Turn: testTurn{flow, 1}})
+	server.timers.set(request, noDeadline)
+	return request
 }
 
 // The next request is the oldest one of the flow with the lowest start tag, whatever requests were dropped and however
@@ -32,9 +41,7 @@
 func TestNextRequestIsTheOldestOfTheFlowWithTheLowestTag(t *testing.T) {
 	for seed := range int64(300) {
 		random := rand.New(rand.NewSource(seed))
-		config := Config{Cores: 1, MemoryKB: 1e9, RunMemoryFactor: 2, Categories: []Category{{Weight: 1,
-			SoftDeadline: 1e6, Deadline: 1e7}}}
-		server := New(config, noopHost{}, 0)
+		server := newFlowServer()
 		flows := []*testFlow{{1}, {2}, {3}, {4}}
 		queued := map[*testFlow][]*Request{}
 		for id := uint64(1); id <= 200; id++ {
@@ -42,7 +49,6 @@
 			switch action := random.Intn(6); {
 			case action < 3:
 				request := enqueueInFlow(server, flow, id)
-				server.timers.set(request, noDeadline)
 				queued[flow] = append(queued[flow], request)
 			case action == 3 && len(queued[flow]) > 0:
 				i := random.Intn(len(queued[flow]))
@@ -86,17 +92,12 @@
 // Guards against a tenant that keeps waiting at a start tag from its arrival after its tag has fallen, or runs although
 // its tag has grown by usage elsewhere since.
 func TestChangedTagsMoveQueuedRequests(t *testing.T) {
-	config := Config{Cores: 1, MemoryKB: 1e9, RunMemoryFactor: 2, Categories: []Category{{Weight: 1,
-		SoftDeadline: 1e6, Deadline: 1e7}}}
-	server := New(config, noopHost{}, 0)
+	server := newFlowServer()
 	grown, steady := &testFlow{10}, &testFlow{20}
-	first := enqueueInFlow(server, grown, 1)
+	enqueueInFlow(server, grown, 1)
 	second := enqueueInFlow(server, steady, 2)
 	dropped := enqueueInFlow(server, steady, 3)
 	last := enqueueInFlow(server, steady, 4)
-	for _, request := range []*Request{first, second, dropped, last} {
-		server.timers.set(request, noDeadline)
-	}
 	grown.startTag = 30
 	require.Same(t, second, server.nextToStart())
 	require.InDelta(t, 20, server.VirtualTime(), 0)
--- a/internal/fairqueue/flow.go
+++ b/internal/fairqueue/flow.go
@@ -97,6 +97,10 @@
 	return f.recentLocalRate
 }
 
+// subtractQueuedCost removes the expected cost of a reservation that is charged or released. Rounding must not leave a
+// negative sum.
+func (f *flow) subtractQueuedCost(cost float64) { f.queuedCost = max(0, f.queuedCost-cost) }
+
 // startTag returns the virtual time at which the next request of the flow becomes eligible.
 func (f *flow) startTag() float64 {
 	s := f.scheduler
--- a/internal/fairqueue/remoteusage.go
+++ b/internal/fairqueue/remoteusage.go
@@ -91,7 +91,9 @@
 	if activeTenants > 0 {
 		server.activeTenants = activeTenants
 	}
-	s.chargePending(0)
+	if s.contendedServers == 1 {
+		s.chargePending(0) // otherwise nothing is due yet
+	}
 	server.lastReport = s.now - max(0, age)
 }
 
--- a/internal/fairqueue/reservation.go
+++ b/internal/fairqueue/reservation.go
@@ -101,7 +101,7 @@
 	s.virtualTime = virtualTime
 	r.isCharged = true
 	r.weight = flow.weight()
-	flow.queuedCost = max(0, flow.queuedCost-r.expectedCost)
+	flow.subtractQueuedCost(r.expectedCost)
 	flow.finishTag = max(flow.finishTag, s.MinStartTag(virtualTime)) + r.expectedCost/r.weight
 }
 
@@ -188,7 +188,7 @@
 	if r.isCharged {
 		flow.finishTag += (cost - r.expectedCost) / r.weight
 	} else {
-		flow.queuedCost = max(0, flow.queuedCost-r.expectedCost)
+		flow.subtractQueuedCost(r.expectedCost)
 	}
 	flow.openReservations--
 	r.state = stateReleased
