--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -17,8 +17,8 @@
 	recovery *server.Recovery
 }
 
-// isBusy reports whether the store still waits for the disk, after the server has closed it. The process then exits only
-// once the disk has answered.
+// isBusy reports whether the store still waits for the disk after the server has closed it. The process then exits
+// only once the disk has answered.
 func (s *storeSubsystem) isBusy() bool {
 	if s.recovery == nil {
 		return false
--- a/internal/segmentlog/log.go
+++ b/internal/segmentlog/log.go
@@ -195,11 +195,11 @@
 	return usedBytes, reservedBytes, records, l.writeErr
 }
 
-// BeginShutdown prepares the log for the exit of the process, which the operating system delays for as long as a sync is
-// in progress, however long the disk takes: it does not interrupt a sync, not even to kill the process. From now on the
-// writer syncs only batches that contain an intent, and from intentsUntil on it drops waiting intents with the error
-// ErrShuttingDown. Records that are written without a sync survive the exit of the process. If the machine crashes
-// before it has written them to the disk, retries of their requests are aborted.
+// BeginShutdown prepares the log for the exit of the process, which the operating system delays for as long as a sync
+// is in progress, however long the disk takes: it does not interrupt a sync, not even to kill the process. From now on
+// the writer syncs only batches that contain an intent, and from intentsUntil on it drops waiting intents with the
+// error ErrShuttingDown. Records that are written without a sync survive the exit of the process. If the machine
+// crashes before it has written them to the disk, retries of their requests are aborted.
 func (l *Log) BeginShutdown(intentsUntil time.Time) { l.intentsUntil.Store(&intentsUntil) }
 
 // isShuttingDown reports whether BeginShutdown has been called.
--- a/internal/segmentlog/writer.go
+++ b/internal/segmentlog/writer.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// ensureSegment starts a new segment if the current one is full or was abandoned after an error. During a shutdown a full
-// segment grows, because a new one would have to be synced.
+// ensureSegment starts a new segment if the current one is full or was abandoned after an error. During a shutdown a
+// full segment grows, because a new one would have to be synced.
 func (w *writer) ensureSegment() error {
 	w.mutex.Lock()
 	writeErr := w.writeErr
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -178,8 +178,8 @@
 }
 
 // drain makes sure that requests that wait for the disk are answered before the shutdown ends, and saves the warm-start
-// state. From now on only intents are synced, and none after the grace period, so that no slow sync delays the exit of the
-// process.
+// state. From now on only intents are synced, and none after the grace period, so that no slow sync delays the exit of
+// the process.
 func (p *recoverySubsystem) drain() {
 	p.log.BeginShutdown(time.Now().Add((p.server.gracePeriodEnd() - p.server.now).Duration()))
 	for _, req := range p.pending {
--- a/internal/server/recovery_test.go
+++ b/internal/server/recovery_test.go
@@ -129,8 +129,8 @@
 	require.Nil(t, test.server.requests.byID[intendedID])
 }
 
-// The exit of a process waits for a sync that is in progress, for as long as a slow disk takes. From the shutdown notice
-// on, neither the warm-start state nor completions nor the end of the log may therefore be synced.
+// The exit of a process waits for a sync that is in progress, for as long as a slow disk takes. From the shutdown
+// notice on, neither the warm-start state nor completions nor the end of the log may therefore be synced.
 func TestShutdownDoesNotWaitForTheDisk(t *testing.T) {
 	test := newDiskTest(t)
 	test.sync(nil) // the intent of the request, which then runs
