Batches heed a delivered shutdown signal before its goroutines get a core

Cause: os/signal passes a signal through a thread that has slept, two channels and two goroutines to the event loop, whose thread goes on running requests meanwhile; no timer is late, so nothing measures it. Evidence: SIGTERM was pending in the kernel for over 3 ms in 1 of 189 processes; with a record in the handler, of 209 the slowest took 78, 67, 51 ms from the kill to the goroutine, of which handler to goroutine 73, 66, 49. Change: internal/signalrecord counts deliveries in a C handler before Go's; every batch looks at the count before it reads on and before it dispatches. The age of the notice is limited by the last batch or tick that had not seen it. Why it works: no request is dispatched after the handler has run without the shutdown having begun.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"thistlequay/internal/diagnostics"
 	"thistlequay/internal/logs"
 	"thistlequay/internal/server"
+	"thistlequay/internal/signalrecord"
 )
 
 // ErrLogged is the error for a failure whose causes have already been logged, one per log line.
@@ -61,13 +62,14 @@
 	// of one kind cannot displace one of the other kind.
 	shutdown := make(chan os.Signal, 1)
 	reload := make(chan os.Signal, 1)
-	signal.Notify(shutdown, syscall.SIGTERM, syscall.SIGINT)
+	delivery := signalrecord.Notify(shutdown, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
 	initial, err := d.readConfiguration()
 	if err != nil {
 		return logDiagnostics(d.log, "cannot_start", err)
 	}
 	d.server = server.New(initial, d.log)
+	d.server.WatchShutdownSignal(delivery)
 	go d.shutdownOn(shutdown)
 	go d.reloadOn(reload)
 	err = d.server.Run()
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -66,6 +66,7 @@
 	if s.admission != nil {
 		s.admission.Advance(s.now)
 	}
+	s.checkShutdownSignal()
 	if !s.endBatchQueued {
 		s.endBatchQueued = true
 		// Execute fails only after the loop has ended.
@@ -85,6 +86,7 @@
 		return nil
 	}
 	s.pauseState = pauseNone
+	s.checkShutdownSignal() // it may have been delivered since the batch began
 	if s.admission != nil {
 		s.admission.Advance(s.now)
 		s.requests.processDeferredWork()
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -79,11 +79,11 @@
 	return s.shutdownDeadline < noDeadline && acceptedAt > s.gracePeriodEnd()
 }
 
-// measuredNoticeDelay returns how long ago the shutdown notice may have been sent, judging by the lateness of timers
-// and by the pause monitor. If a timer is overdue now or was late recently, the process was stopped or delayed, and the
-// notice may have waited for as long.
+// measuredNoticeDelay returns how long ago the shutdown notice may have been sent, judging by the lateness of timers,
+// by the pause monitor and by when the signal was not yet delivered. If a timer is overdue now or was late recently,
+// the process was stopped or delayed, and the notice may have waited for as long.
 func (s *Server) measuredNoticeDelay() timeunit.Ticks {
-	delay := max(s.peakLateness.peak(s.now), s.pauseMonitor.longestPause(s.now))
+	delay := max(s.peakLateness.peak(s.now), s.pauseMonitor.longestPause(s.now), s.shutdownSignal.maxAge(s.now))
 	if len(s.deadlines) > 0 {
 		delay = max(delay, s.now-s.deadlines[0].deadline)
 	}
--- a/internal/server/pausemonitor.go
+++ b/internal/server/pausemonitor.go
@@ -52,16 +52,18 @@
 }
 
 // start begins to monitor and returns a function that ends the monitor's goroutine. clock returns the current time on
-// the server's clock and must be safe for concurrent use.
-func (m *pauseMonitor) start(clock func() timeunit.Ticks) (stop func()) {
+// the server's clock. The goroutine calls onTick at each tick. Both functions must be safe for concurrent use.
+func (m *pauseMonitor) start(clock func() timeunit.Ticks, onTick func(now timeunit.Ticks) bool) (stop func()) {
 	m.tick(clock())
 	stopped := make(chan struct{})
-	go m.run(clock, stopped)
+	go m.run(clock, onTick, stopped)
 	return func() { close(stopped) }
 }
 
 // run records the lateness of its ticks until stopped is closed.
-func (m *pauseMonitor) run(clock func() timeunit.Ticks, stopped <-chan struct{}) {
+func (m *pauseMonitor) run(
+	clock func() timeunit.Ticks, onTick func(now timeunit.Ticks) bool, stopped <-chan struct{},
+) {
 	ticker := time.NewTicker(pauseMonitorInterval.Duration())
 	defer ticker.Stop()
 	for {
@@ -69,7 +71,9 @@
 		case <-stopped:
 			return
 		case <-ticker.C:
-			m.tick(clock())
+			now := clock()
+			m.tick(now)
+			onTick(now)
 		}
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -97,7 +97,8 @@
 	noticeSentAt     timeunit.Ticks // earliest time at which the notice may have been sent; valid after it
 	killAt           timeunit.Ticks // expected time of the kill, given the notice delay; valid after the notice
 	shutdownDeadline timeunit.Ticks // when all requests must be answered; noDeadline before the shutdown notice
-	mustEndLoop      bool           // the event loop must end
+	shutdownSignal   signalWatch
+	mustEndLoop      bool // the event loop must end
 
 	// Logging of the server's state, and its counters.
 	stateTimer       timer
@@ -145,7 +146,7 @@
 	if err := checkAddressFree(s.config.Listen); err != nil {
 		return err
 	}
-	stopMonitor := s.pauseMonitor.start(s.clock.elapsed)
+	stopMonitor := s.pauseMonitor.start(s.clock.elapsed, s.shutdownSignal.check)
 	defer stopMonitor()
 	err := gnet.Run(s, "tcp://"+s.config.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(bufferSize),
