The soak takes the time of responses and closes from the system, not from late reads

Cause: the clients' goroutines read up to 240 ms late; the test allows for the lateness of its timers, 101 to 187 ms there. Evidence: a trace of each close and each late response on the server. The three requests were written 30 ms after the server had shut its side down with nothing unread, which the protocol allows, and the end was read 190 ms after that. Of the six responses three were in time by the server's log, three were answered 70 to 190 ms before the check's limit. Change: a response counts from when the system received it, a request that is written when the end of its connection has come crosses the close.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -128,9 +128,9 @@
 	if request.Process.hasCrashedBefore(o.dueTime(request)) {
 		return true
 	}
-	crossedClose := !request.ClosedAt.IsZero() &&
+	crossedClose := request.WrittenAfterEnd ||
 		request.WrittenAt.After(request.ClosedAt.Add(-timeTolerance-o.Lateness))
-	return crossedClose && request.Runs == 0
+	return !request.ClosedAt.IsZero() && crossedClose && request.Runs == 0
 }
 
 // hasCrashedBefore reports whether the run had killed the process without SIGTERM by a given time.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -84,6 +84,13 @@
 		ReceivedAt: request.ReceivedAt}
 	observation.Requests = append(observation.Requests, ran)
 	require.Empty(t, Check(observation))
+	request.ClosedAt = request.WrittenAt.Add(time.Second)
+	require.Len(t, Check(observation), 1, "the connection was still open for long")
+	request.WrittenAfterEnd = true
+	require.Empty(t, Check(observation), "the end was read long after it had come")
+	request.Runs = 1
+	require.Len(t, Check(observation), 1, "it ran")
+	request.Runs = 0
 	request.ClosedAt = time.Time{}
 	require.Len(t, Check(observation), 1, "the connection stayed open")
 	request.Process.CrashedAt = request.WrittenAt
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -136,6 +136,7 @@
 	}
 	c.openRequests[slot] = request
 	c.lock.Unlock()
+	request.WrittenAfterEnd = hasReceivedEnd(c.Conn)
 	request.WrittenAt = time.Now()
 	_, err := c.Write(data)
 	if err != nil {
@@ -195,7 +196,7 @@
 			c.client.run.recordUnexpected(c.process, now)
 			continue
 		}
-		c.client.run.observation.addResponse(request, now)
+		c.client.run.observation.addResponse(request, receivedTime(c.Conn, now))
 		c.client.run.notifyRequestEnded(c.client.target, request)
 	}
 }
--- a/internal/soak/observation.go
+++ b/internal/soak/observation.go
@@ -36,7 +36,10 @@
 	ReceivedAt time.Time
 	WrittenAt  time.Time
 	Budget     time.Duration
-	// Responses are the times at which responses to the request were read.
+	// WrittenAfterEnd reports whether the client's system had received the end of the connection before the request was
+	// written, so that the request crossed the close. The client had not read the end yet.
+	WrittenAfterEnd bool
+	// Responses are the times at which responses to the request were received.
 	Responses []time.Time
 	// ClosedAt is when the end of its connection was read; zero if the request had its response before, or the
 	// connection outlived the run.
