A shutdown answers the requests that have arrived before it closes their connection

Callers saw: on a machine without free cores, requests that a draining server had received up to 0.76 s before it closed their connection got no response. They had not run. The protocol allows 50 ms for a request to cross a close. Cause: connections that end because of the shutdown were closed at the end of the batch, whatever their socket held; between the last read and the close the event loop may be without a core for hundreds of milliseconds. Requests read in the batch of the close were discarded too. Change: such a connection closes once the system holds no input for it (outputBuffer.mustReadBeforeClose); the input is read and answered first. After three quarters of the time between the grace period and the deadline connections close as before, which bounds it. Why it works: the look and the shutdown of the write side are two system calls apart, instead of a batch.

--- a/internal/server/buffers.go
+++ b/internal/server/buffers.go
@@ -1,6 +1,9 @@
 package server
 
-import "github.com/panjf2000/gnet/v2"
+import (
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+)
 
 const (
 	bufferSize     = 8 << 10
@@ -59,7 +62,8 @@
 	conn            gnet.Conn // nil while not connected
 	output          []byte    // nil while the batch has no output for the connection
 	closeAfterWrite bool
-	maxUnread       int // maximum number of bytes that the peer may leave unread
+	readBeforeClose bool // closeAfterWrite waits until all input that has arrived has been read
+	maxUnread       int  // maximum number of bytes that the peer may leave unread
 }
 
 // buffer returns the slice to append output to, and schedules the connection to be written at the end of the batch.
@@ -73,14 +77,32 @@
 }
 
 // flushAndRelease writes the output at the end of the batch, returns the buffer to the pool, and closes the connection
-// if closeAfterWrite is set.
+// if closeAfterWrite is set. If there is input to read first, it resets closeAfterWrite instead; whoever handles the
+// input then sets it again.
 func (b *outputBuffer) flushAndRelease() {
 	b.flush()
 	b.server.buffers.put(b.output)
 	b.output = nil
-	if b.closeAfterWrite {
-		b.closeGracefully()
+	if !b.closeAfterWrite {
+		return
+	}
+	if b.mustReadBeforeClose() {
+		b.closeAfterWrite = false
+		return
 	}
+	b.closeGracefully()
+}
+
+// mustReadBeforeClose reports whether input must be read before the connection is closed.
+func (b *outputBuffer) mustReadBeforeClose() bool {
+	return b.readBeforeClose && b.conn != nil && b.server.now < b.server.readBeforeCloseUntil && hasUnreadInput(b.conn)
+}
+
+// hasUnreadInput reports whether the system has received input of a connection that the event loop has not read yet. On
+// a busy machine, or within a long batch, it may have been there for hundreds of milliseconds.
+func hasUnreadInput(conn gnet.Conn) bool {
+	unread, err := unix.IoctlGetInt(conn.Fd(), unix.SIOCINQ)
+	return err == nil && unread > 0
 }
 
 // flush writes the output so far; it may be called before the end of the batch. An error needs no handling here because
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -100,6 +100,7 @@
 		s.routers.closeAllIdle()
 	}
 	s.setTimer(&timer{fire: closeIdle}, s.shutdownDeadline-afterGrace/2)
+	s.readBeforeCloseUntil = s.shutdownDeadline - afterGrace/4
 	// The server stops one batch after the shutdown deadline. If the loop is late, the batch of the deadline still
 	// answers the requests that are due.
 	stop := func() { s.stop(min(processExitTime, s.config.ShutdownTimeout/noticeReserveDivisor) / 4) }
--- a/internal/server/routerconnection.go
+++ b/internal/server/routerconnection.go
@@ -81,13 +81,20 @@
 		c.closeAtEndOfBatch()
 	case c.state == connectionActive && c.parser.Idle():
 		if c.server.phase >= phaseClosing {
-			c.setState(connectionEnding)
+			c.endForShutdown()
 		} else {
 			c.setState(connectionIdle)
 		}
 	}
 }
 
+// endForShutdown closes the connection once no request is open. The router does not know of the close, so the requests
+// that it has sent by then are read and answered first.
+func (c *routerConnection) endForShutdown() {
+	c.readBeforeClose = true
+	c.setState(connectionEnding)
+}
+
 // closeAtEndOfBatch closes the connection after its output has been written at the end of the batch.
 func (c *routerConnection) closeAtEndOfBatch() {
 	c.buffer() // schedules the write, and with it the close, even if there is no output
@@ -116,7 +123,7 @@
 }
 
 func (c *routerConnection) receive(data []byte) error {
-	if c.closeAfterWrite { // the data crossed the close, which happens at the end of this batch
+	if c.closeAfterWrite && !c.readBeforeClose { // the data crossed the close, which happens at the end of this batch
 		return nil
 	}
 	if c.state == connectionIdle {
--- a/internal/server/routerrequests.go
+++ b/internal/server/routerrequests.go
@@ -21,9 +21,10 @@
 
 // HandleRequest implements fastcgi.Handler: it handles a complete request.
 func (c *routerConnection) HandleRequest(stream *fastcgi.Request) {
-	if c.closeAfterWrite { // the request follows the one that asked for the close, and is never run
-		return
+	if c.closeAfterWrite && !c.readBeforeClose {
+		return // the request follows the one that asked for the close, and is never run
 	}
+	c.closeAfterWrite = false // until the request has been answered
 	c.wasIncomplete = false
 	if c.state == connectionNew {
 		c.setState(connectionActive)
@@ -79,6 +80,7 @@
 	stream.Owner = nil
 	c.parser.Finish(stream, c)
 	if !stream.KeepConnection {
+		c.readBeforeClose = false
 		c.setState(connectionEnding) // other open requests are answered first
 	}
 	c.updateState()
--- a/internal/server/routertable.go
+++ b/internal/server/routertable.go
@@ -121,7 +121,7 @@
 		if front == nil {
 			return
 		}
-		front.Value.(*routerConnection).setState(connectionEnding)
+		front.Value.(*routerConnection).endForShutdown()
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -97,8 +97,11 @@
 	noticeSentAt     timeunit.Ticks // earliest time at which the notice may have been sent; valid after it
 	killAt           timeunit.Ticks // expected time of the kill, given the notice delay; valid after the notice
 	shutdownDeadline timeunit.Ticks // when all requests must be answered; noDeadline before the shutdown notice
-	shutdownSignal   signalWatch
-	mustEndLoop      bool // the event loop must end
+	// readBeforeCloseUntil is when a shutdown begins to close connections over input that has not been read, so that
+	// peers that send all the time leave enough time for a graceful close.
+	readBeforeCloseUntil timeunit.Ticks
+	shutdownSignal       signalWatch
+	mustEndLoop          bool // the event loop must end
 
 	// Logging of the server's state, and its counters.
 	stateTimer       timer
