The soak asks the system whether a process had ended when it kills it

Cause: the soak took a process for killed if the goroutine that waits for its exit had not run by the kill. Change: Server.HasEnded (waitid with WNOHANG and WNOWAIT).

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -258,7 +258,7 @@
 	select {
 	case <-server.Exited():
 	case <-time.After(time.Until(process.ShutdownAt.Add(r.plan.StopTimeout))):
-		process.WasKilled = true
+		process.WasKilled = !server.HasEnded()
 		_ = server.Kill()
 	}
 	process.ExitedAt = time.Now()
