Review case 1: a run gets the reply to its call before, after a broken link

A RESOLVE that went out within 100 ms before the link to the interpreter broke is sent again after the replay; where the first copy had arrived and the run has come to its next call, the second copy is taken for the reply to that call, and the client is served a result made of it. One disruption: the link breaks. The cases are renumbered, the gravest first; the shared kit gets stand-ins of interpreter and index that check replies.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,45 +1,49 @@
-// Command 1 shows that the verdict of a plug-in, which its settings permit, kills the server.
+// Command 1 shows that after a break of the link to the interpreter, a run gets the reply to its call before in place
+// of the reply to the call that it waits for.
 package main
 
 import (
 	"fmt"
-	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"thistlequay/internal/emulator"
 	"thistlequay/review/kit"
 )
 
-const folder = "review/1"
+const (
+	folder = "review/1"
 
-// waitAfter is how long the server is watched after the request that the plug-in moves.
-const waitAfter = 3 * time.Second
-
-const pluginSection = `plugins:
-  memory_mb: 80
-  list:
-    - name: delivery-rule
-      file: %s
-      memory_kb: 4096
-      code_kb: 4096
-      call: 50ms
-      hooks: [read]
-      categories: [lagersok]
-      may: [categorise]
-      to: [mottak]
-      otherwise: pass
-`
+	cores        = 6
+	period       = 2 * time.Millisecond // of the settings
+	sendFor      = 90 * time.Second
+	gap          = 5300 * time.Microsecond // between two requests: 190 a second
+	breakEvery   = 1500 * time.Millisecond
+	routers      = 12
+	callsOfRun   = 2
+	longestWork  = 40 * time.Millisecond // between two calls
+	indexDelay   = 3 * time.Millisecond
+	maxRecorded  = 20
+	answersAtEnd = 8 * time.Second
+)
 
 func main() { kit.Main(folder, run) }
 
+// counts are what the case saw.
+type counts struct {
+	lock                            sync.Mutex
+	served, refused, failed, broken int
+}
+
 func run(c *kit.Case) error {
-	interpreter, err := emulator.NewInterpreter(6, 1)
+	interpreter, err := kit.NewInterpreter(cores, 1, period)
 	if err != nil {
 		return err
 	}
-	defer interpreter.Close()
-	index, err := emulator.NewIndex()
+	interpreter.Calls = callsOfRun
+	interpreter.Work = longestWork
+	index, err := kit.NewIndex(interpreter, indexDelay)
 	if err != nil {
 		return err
 	}
@@ -52,66 +56,101 @@
 		return err
 	}
 	server.Interpreter, server.Index, server.Directory = interpreter.Address, index.Address, directory.Address
-	server.Settings = kit.Settings(6, 12)
-	module, err := filepath.Abs(filepath.Join("bin", "review1-rule.wasm"))
-	if err != nil {
-		return err
+	server.Settings = kit.Settings(cores, 12)
+	seen := &counts{}
+	interpreter.Foreign = func(id string, call int, reply string) {
+		seen.lock.Lock()
+		defer seen.lock.Unlock()
+		seen.broken++
+		if seen.broken <= maxRecorded {
+			c.Broken("the run of %s waits for the reply to its call %d and was given %q", id, call, reply)
+		}
 	}
-	server.Service = fmt.Sprintf(pluginSection, module)
 	if err := server.Start(); err != nil {
 		return err
 	}
-	return sendAndWatch(c, server)
+	breaks := 0
+	stop := make(chan struct{})
+	if c.Trouble {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(breakEvery):
+					interpreter.BreakLink()
+					breaks++
+				}
+			}
+		}()
+	}
+	err = send(c, server, interpreter, seen)
+	close(stop)
+	c.Record("served %d, refused %d, failed %d", seen.served, seen.refused, seen.failed)
+	c.Record("runs %d, links %d, breaks %d, replies while no call waited %d", interpreter.Runs, interpreter.Links,
+		breaks, interpreter.UnaskedReplies)
+	c.Record("the index carried out %d calls and had nobody wait for %d; replies to the wrong call: %d",
+		index.Calls.Load(), index.Nobody.Load(), seen.broken)
+	return err
 }
 
-// panicLines returns the message of a panic and the functions of the project that it went through.
-func panicLines(log string) string {
-	var found []string
-	for _, line := range strings.Split(log, "\n") {
-		if strings.HasPrefix(line, "panic: ") || strings.HasPrefix(line, "thistlequay/") {
-			found = append(found, line)
+// send sends requests of all classes at an even rate and waits for their answers.
+func send(c *kit.Case, server *kit.Server, interpreter *kit.Interpreter, seen *counts) error {
+	var links []*kit.Router
+	for range routers {
+		router, err := c.Connect(server.Address)
+		if err != nil {
+			return err
+		}
+		router.Quiet = true
+		defer router.Close()
+		links = append(links, router)
+	}
+	var waiting sync.WaitGroup
+	ticker := time.NewTicker(gap)
+	defer ticker.Stop()
+	start := time.Now()
+	for n := 0; time.Since(start) < sendFor; n++ {
+		<-ticker.C
+		router := links[n%routers]
+		if !router.HasRoom() {
+			continue // its client waits
+		}
+		request := kit.Request{Class: kit.ClassRead, Tenant: kit.Tenant, Budget: 7 * time.Second, Sender: "router",
+			Body: fmt.Sprintf("delivery %d", n)}
+		if n%2 == 0 {
+			request.Class = kit.ClassWrite
+			request.Key = fmt.Sprintf("%032x", n)
 		}
+		pending := router.Send(request)
+		waiting.Go(func() {
+			answer := pending.Wait()
+			interpreter.RequestOver(answer.ID)
+			seen.judge(c, request, &answer)
+		})
 	}
-	return strings.Join(found, " | ")
+	waiting.Wait()
+	return nil
 }
 
-// sendAndWatch sends three requests that are in progress, and then one that the plug-in moves to the class mottak
-// (without trouble: one that it leaves alone). All four must be answered, and the server must go on.
-func sendAndWatch(c *kit.Case, server *kit.Server) error {
-	router, err := c.Connect(server.Address)
-	if err != nil {
-		return err
+// judge checks that a result is made of the replies to its own calls, in order.
+func (s *counts) judge(c *kit.Case, request kit.Request, answer *kit.Answer) {
+	var replies []string
+	for call := range callsOfRun {
+		replies = append(replies, kit.ReplyTo(kit.CallBody(answer.ID, call+1)))
 	}
-	defer router.Close()
-	read := kit.Request{Class: kit.ClassRead, Tenant: kit.Tenant, Budget: 7 * time.Second, Sender: "router"}
-	pending := []*kit.Pending{}
-	for i := range 3 {
-		request := read
-		request.Body = fmt.Sprintf("1000 stock on hand %d", i)
-		pending = append(pending, router.Send(request))
-	}
-	write := read
-	write.Class = kit.ClassWrite
-	write.Body = "1000 count of a shelf"
-	write.Key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
-	pending = append(pending, router.Send(write))
-	time.Sleep(200 * time.Millisecond)
-	moved := read
-	moved.Body = "20 stock on hand"
-	if c.Trouble {
-		moved.Body = "20 stock on hand for a delivery"
-	}
-	pending = append(pending, router.Send(moved))
-	for _, try := range pending {
-		if answer := try.Wait(); answer.Status == 0 {
-			c.Broken("request %s, which the server had read, got no answer: %v", answer.ID, answer.Err)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	switch {
+	case answer.Served():
+		s.served++
+		if want := request.Body + ": " + strings.Join(replies, ", "); answer.Body != want && s.broken <= maxRecorded {
+			c.Broken("the client of %s (%s) was served %q, where its calls got %q", answer.ID, request.Class,
+				answer.Body, want)
 		}
+	case answer.Refused():
+		s.refused++
+	default:
+		s.failed++
 	}
-	select {
-	case <-server.Exited():
-		c.Broken("the server ended by itself: %s; its log has: %s", server.ExitText(), panicLines(server.LogText()))
-	case <-time.After(waitAfter):
-		c.Record("the server runs on")
-	}
-	return nil
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p bin
-CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/review1 ./review/1
-CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/review2 ./review/2
-GOOS=wasip1 GOARCH=wasm CGO_ENABLED=0 go build -buildmode=c-shared -ldflags="-s -w" -o bin/review1-rule.wasm ./review/1/rule
+for n in 1 2 3; do
+  CGO_ENABLED=1 go build -ldflags=-linkmode=external -o "bin/review$n" "./review/$n"
+done
+GOOS=wasip1 GOARCH=wasm CGO_ENABLED=0 go build -buildmode=c-shared -ldflags="-s -w" -o bin/review2-rule.wasm ./review/2/rule
--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -27,9 +27,10 @@
 			"Linger": 200, "MemoryKb": 83664, "Meters": []string{"core_use", "on_cores", "heap_share", "links"},
 			"PassesDeadline": true, "RunFactor": 8, "Say": "min_rank",
 		},
-		"Limits":  map[string]any{"MaxRetryAfter": 1000, "RetryAfter": true},
-		"Period":  2,
-		"Rules":   map[string]any{"AnswerSlack": 60, "Cold": 18000, "ColdFrom": 0.26, "DrainGrace": 2000, "Fall": 2000, "TipMultiple": 8},
+		"Limits": map[string]any{"MaxRetryAfter": 1000, "RetryAfter": true},
+		"Period": 2,
+		"Rules": map[string]any{"AnswerSlack": 60, "Cold": 18000, "ColdFrom": 0.26, "DrainGrace": 2000, "Fall": 2000,
+			"TipMultiple": 8},
 		"Servers": servers,
 		"Tenants": []any{
 			map[string]any{"Name": Tenant, "QuotaPerS": 81, "Share": 0.31},
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -49,7 +50,7 @@
 	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", startedAt: time.Now()}
 	err := c.open(folder)
 	if err == nil {
-		err = run(c)
+		err = c.runUntilSignal(run)
 	}
 	for _, server := range c.servers {
 		server.Kill()
@@ -71,6 +72,20 @@
 	os.Exit(code)
 }
 
+// runUntilSignal runs the case, but returns early with an error when the script is ended by a signal.
+func (c *Case) runUntilSignal(run func(*Case) error) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := make(chan error, 1)
+	go func() { ended <- run(c) }()
+	select {
+	case err := <-ended:
+		return err
+	case received := <-signals:
+		return fmt.Errorf("ended by the signal %v", received)
+	}
+}
+
 // open opens the record and reads the deploy file.
 func (c *Case) open(folder string) error {
 	var err error
--- a/review/kit/router.go
+++ b/review/kit/router.go
@@ -53,6 +53,9 @@
 
 // Router is one connection of a router to a server. It carries up to 32 open requests.
 type Router struct {
+	// Quiet leaves what is sent and answered out of the record.
+	Quiet bool
+
 	owner *Case
 	link  *emulator.Link
 
@@ -95,9 +98,25 @@
 	}
 }
 
+func (r *Router) recordUnlessQuiet(format string, args ...any) {
+	if !r.Quiet {
+		r.owner.Record(format, args...)
+	}
+}
+
 // Close closes the connection.
 func (r *Router) Close() { _ = r.link.Close() }
 
+// maxOpen is the largest number of open requests on one connection.
+const maxOpen = 32
+
+// HasRoom reports whether the connection may carry another request.
+func (r *Router) HasRoom() bool {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	return r.waiting != nil && len(r.waiting) < maxOpen
+}
+
 // Pending is a try that was sent.
 type Pending struct {
 	ID      string
@@ -118,7 +137,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	p.sentAt = time.Now()
-	r.owner.Record("%s: sent %s %s key=%q body=%q", request.Sender, p.ID, request.Class, request.Key, request.Body)
+	r.recordUnlessQuiet("%s: sent %s %s key=%q body=%q", request.Sender, p.ID, request.Class, request.Key, request.Body)
 	if r.waiting == nil {
 		p.err = r.err
 		return p
@@ -147,8 +166,8 @@
 		}
 	}
 	answer.Took = time.Since(p.sentAt)
-	p.router.owner.Record("%s: %s answered %d body=%q after %d ms, error %v", p.request.Sender, p.ID, answer.Status,
-		answer.Body, answer.Took.Milliseconds(), answer.Err)
+	p.router.recordUnlessQuiet("%s: %s answered %d body=%q after %d ms, error %v", p.request.Sender, p.ID,
+		answer.Status, answer.Body, answer.Took.Milliseconds(), answer.Err)
 	return answer
 }
 
