--- a/review/1/main.go
+++ b/review/1/main.go
@@ -43,6 +43,7 @@
 	}
 	interpreter.Calls = callsOfRun
 	interpreter.Work = longestWork
+	interpreter.Note = c.RecordQuietly
 	index, err := kit.NewIndex(interpreter, indexDelay)
 	if err != nil {
 		return err
@@ -69,7 +70,6 @@
 	if err := server.Start(); err != nil {
 		return err
 	}
-	breaks := 0
 	stop := make(chan struct{})
 	if c.Trouble {
 		go func() {
@@ -79,7 +79,6 @@
 					return
 				case <-time.After(breakEvery):
 					interpreter.BreakLink()
-					breaks++
 				}
 			}
 		}()
@@ -87,8 +86,9 @@
 	err = send(c, server, interpreter, seen)
 	close(stop)
 	c.Record("served %d, refused %d, failed %d", seen.served, seen.refused, seen.failed)
-	c.Record("runs %d, links %d, breaks %d, replies while no call waited %d", interpreter.Runs, interpreter.Links,
-		breaks, interpreter.UnaskedReplies)
+	total := interpreter.Counters()
+	c.Record("runs %d, links %d, breaks %d, replies while no call waited %d", total.Runs, total.Links, total.Breaks,
+		total.UnaskedReplies)
 	c.Record("the index carried out %d calls and had nobody wait for %d; replies to the wrong call: %d",
 		index.Calls.Load(), index.Nobody.Load(), seen.broken)
 	return err
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -61,7 +61,13 @@
 	if err := server.Start(); err != nil {
 		return err
 	}
-	return sendAndWatch(c, server)
+	err = sendAndWatch(c, server)
+	interpreter.Inspect(func(v *emulator.Interpreter) {
+		for id, runs := range v.RunsByRequest {
+			c.Record("the interpreter ran %s %d times", id, runs)
+		}
+	})
+	return err
 }
 
 // panicLines returns the message of a panic and the functions of the project that it went through.
--- a/review/kit/interpreter.go
+++ b/review/kit/interpreter.go
@@ -22,6 +22,8 @@
 	Work  time.Duration
 	// Foreign is called for a reply that is not that of the call that the run waits for.
 	Foreign func(id string, call int, reply string)
+	// Note records what is run; it may be nil.
+	Note func(format string, args ...any) string
 
 	period  time.Duration
 	lock    sync.Mutex
@@ -32,8 +34,24 @@
 	queue   []queuedCommand
 	cores   int
 
-	// Counters for the record.
-	Runs, UnaskedReplies, Links int
+	counters InterpreterCounters
+}
+
+// InterpreterCounters are the counters for the record.
+type InterpreterCounters struct{ Runs, UnaskedReplies, Links, Breaks int }
+
+// Counters returns the counters.
+func (v *Interpreter) Counters() InterpreterCounters {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	return v.counters
+}
+
+// note records what is run.
+func (v *Interpreter) note(format string, args ...any) {
+	if v.Note != nil {
+		v.Note("interpreter: "+format, args...)
+	}
 }
 
 // interpreterRun is one run.
@@ -122,7 +140,8 @@
 	case "APPLY":
 		switch {
 		case run == nil:
-			v.Runs++
+			v.counters.Runs++
+			v.note("runs %s body=%q", command.Job, command.Data)
 			run = &interpreterRun{body: string(command.Data)}
 			v.runs[command.Job] = run
 			v.work(command.Job, run)
@@ -144,7 +163,8 @@
 		_ = v.link.Close() // it may be closed already
 	}
 	v.link = link
-	v.Links++
+	v.counters.Links++
+	v.note("link %d, after notice %d", v.counters.Links, received)
 	v.write(link, `{"type":"BANNER","state":"WARM","took":3600000}`)
 	for _, line := range v.notices[min(received, len(v.notices)):] {
 		v.write(link, line)
@@ -154,12 +174,14 @@
 // resolve gives a reply to the run that waits for it.
 func (v *Interpreter) resolve(id string, run *interpreterRun, reply string) {
 	if run == nil || run.ended || !run.waits {
-		v.UnaskedReplies++
+		v.counters.UnaskedReplies++
+		v.note("%s waits for no call and was given %q", id, reply)
 		return
 	}
 	if reply != ReplyTo(CallBody(id, run.call)) && v.Foreign != nil {
 		v.Foreign(id, run.call, reply)
 	}
+	v.note("%s waits for call %d and was given %q", id, run.call, reply)
 	run.waits = false
 	run.replies = append(run.replies, reply)
 	v.work(id, run)
@@ -189,6 +211,7 @@
 func (v *Interpreter) end(id string, run *interpreterRun, state string) {
 	run.ended = true
 	run.waits = false
+	v.note("%s ended: %s", id, state)
 	data := ""
 	if state == "OK" {
 		data = base64.StdEncoding.EncodeToString([]byte(run.body + ": " + strings.Join(run.replies, ", ")))
@@ -215,6 +238,8 @@
 	if v.link != nil {
 		_ = v.link.Close() // the app server may have closed it
 		v.link = nil
+		v.counters.Breaks++
+		v.note("the link breaks")
 	}
 }
 
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -114,15 +114,18 @@
 	return err
 }
 
-// Record writes a line to record.txt, with the time since the start of the case.
-func (c *Case) Record(format string, args ...any) {
+// Record writes a line to record.txt, with the time since the start of the case, and prints it.
+func (c *Case) Record(format string, args ...any) { fmt.Print(c.RecordQuietly(format, args...)) }
+
+// RecordQuietly writes a line to record.txt, with the time since the start of the case, and returns it.
+func (c *Case) RecordQuietly(format string, args ...any) string {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	line := fmt.Sprintf("%9.3f  %s\n", time.Since(c.startedAt).Seconds(), fmt.Sprintf(format, args...))
 	if c.record != nil {
 		_, _ = c.record.WriteString(line) // the exit code does not depend on the record
 	}
-	fmt.Print(line)
+	return line
 }
 
 // Broken records that the rule was broken.
--- a/review/kit/router.go
+++ b/review/kit/router.go
@@ -53,7 +53,7 @@
 
 // Router is one connection of a router to a server. It carries up to 32 open requests.
 type Router struct {
-	// Quiet leaves what is sent and answered out of the record.
+	// Quiet writes what is sent and answered to the record only.
 	Quiet bool
 
 	owner *Case
@@ -98,8 +98,11 @@
 	}
 }
 
-func (r *Router) recordUnlessQuiet(format string, args ...any) {
-	if !r.Quiet {
+// note records what was sent or answered.
+func (r *Router) note(format string, args ...any) {
+	if r.Quiet {
+		r.owner.RecordQuietly(format, args...)
+	} else {
 		r.owner.Record(format, args...)
 	}
 }
@@ -137,7 +140,7 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	p.sentAt = time.Now()
-	r.recordUnlessQuiet("%s: sent %s %s key=%q body=%q", request.Sender, p.ID, request.Class, request.Key, request.Body)
+	r.note("%s: sent %s %s key=%q body=%q", request.Sender, p.ID, request.Class, request.Key, request.Body)
 	if r.waiting == nil {
 		p.err = r.err
 		return p
@@ -166,7 +169,7 @@
 		}
 	}
 	answer.Took = time.Since(p.sentAt)
-	p.router.recordUnlessQuiet("%s: %s answered %d body=%q after %d ms, error %v", p.request.Sender, p.ID,
+	p.router.note("%s: %s answered %d body=%q after %d ms, error %v", p.request.Sender, p.ID,
 		answer.Status, answer.Body, answer.Took.Milliseconds(), answer.Err)
 	return answer
 }
