Review: wait for a served read before a case begins

An unknown path is answered 404 before the interpreter is up, so a case could begin too early: case 3 held in 3 of some 60 runs because its first request was refused. The check is as it was.

--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -28,6 +28,9 @@
 // startTimeout is the longest wait for a server to serve.
 const startTimeout = 30 * time.Second
 
+// startInterval is the time between two looks whether a server serves.
+const startInterval = 20 * time.Millisecond
+
 // Case is one run of a case. Its methods may be called from any goroutine.
 type Case struct {
 	// Trouble says whether the disruption takes place. It is false with TROUBLE=0.
@@ -225,13 +228,13 @@
 	return s.awaitServing()
 }
 
-// awaitServing waits until the server answers an unknown path with 404, as it does once its interpreter is up.
+// awaitServing waits until the server serves a read, as it does once its interpreter is up.
 func (s *Server) awaitServing() error {
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(startInterval) {
 		if !s.Alive() {
 			return fmt.Errorf("%s ended at its start:\n%s", s.Name, s.LogTail(20))
 		}
-		if emulator.WaitUntilServing(s.Address) == nil {
+		if s.servesRead() {
 			s.owner.Record("%s: serves", s.Name)
 			return nil
 		}
@@ -239,6 +242,19 @@
 	return fmt.Errorf("%s does not serve:\n%s", s.Name, s.LogTail(20))
 }
 
+// servesRead reports whether the server serves a read now.
+func (s *Server) servesRead() bool {
+	router, err := s.owner.Connect(s.Address)
+	if err != nil {
+		return false
+	}
+	defer router.Close()
+	router.Quiet = true
+	answer := router.Do(Request{Class: ClassRead, Body: "1 first read", Tenant: Tenant, Budget: startTimeout / 10,
+		Sender: "start"})
+	return answer.Served()
+}
+
 // Alive reports whether the process runs.
 func (s *Server) Alive() bool {
 	if s.process == nil {
