--- a/review/1/main.go
+++ b/review/1/main.go
@@ -116,10 +116,11 @@
 		if !router.HasRoom() {
 			continue // its client waits
 		}
-		request := kit.Request{Class: kit.ClassRead, Tenant: kit.Tenant, Budget: 7 * time.Second, Sender: "router",
+		request := kit.Request{Class: kit.ClassCount, Tenant: kit.Tenant, Budget: 4 * time.Second, Sender: "router",
 			Body: fmt.Sprintf("delivery %d", n)}
 		if n%2 == 0 {
 			request.Class = kit.ClassWrite
+			request.Budget = 7 * time.Second
 			request.Key = fmt.Sprintf("%032x", n)
 		}
 		pending := router.Send(request)
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -250,7 +250,7 @@
 	}
 	defer router.Close()
 	router.Quiet = true
-	answer := router.Do(Request{Class: ClassRead, Body: "1 first read", Tenant: Tenant, Budget: startTimeout / 10,
+	answer := router.Do(Request{Class: ClassCount, Body: "1 first read", Tenant: Tenant, Budget: startTimeout / 10,
 		Sender: "start"})
 	return answer.Served()
 }
