--- a/review/kit/interpreter.go
+++ b/review/kit/interpreter.go
@@ -141,7 +141,7 @@
 		switch {
 		case run == nil:
 			v.counters.Runs++
-			v.note("runs %s body=%q", command.Job, command.Data)
+			v.note("runs %s", command.Job)
 			run = &interpreterRun{body: string(command.Data)}
 			v.runs[command.Job] = run
 			v.work(command.Job, run)
@@ -175,13 +175,12 @@
 func (v *Interpreter) resolve(id string, run *interpreterRun, reply string) {
 	if run == nil || run.ended || !run.waits {
 		v.counters.UnaskedReplies++
-		v.note("%s waits for no call and was given %q", id, reply)
+		v.note("%s waits for no call and was given %q, which is ignored", id, reply)
 		return
 	}
 	if reply != ReplyTo(CallBody(id, run.call)) && v.Foreign != nil {
 		v.Foreign(id, run.call, reply)
 	}
-	v.note("%s waits for call %d and was given %q", id, run.call, reply)
 	run.waits = false
 	run.replies = append(run.replies, reply)
 	v.work(id, run)
@@ -211,7 +210,6 @@
 func (v *Interpreter) end(id string, run *interpreterRun, state string) {
 	run.ended = true
 	run.waits = false
-	v.note("%s ended: %s", id, state)
 	data := ""
 	if state == "OK" {
 		data = base64.StdEncoding.EncodeToString([]byte(run.body + ": " + strings.Join(run.replies, ", ")))
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -117,6 +117,16 @@
 	return err
 }
 
+// notePID tells run.sh of a process, so that it can end it should this program end early.
+func (c *Case) notePID(pid int) {
+	file, err := os.OpenFile(os.Getenv("REVIEW_PIDS"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return // not started by run.sh
+	}
+	_, _ = fmt.Fprintln(file, pid) // without the line, only an early end leaves the process behind
+	_ = file.Close()
+}
+
 // Record writes a line to record.txt, with the time since the start of the case, and prints it.
 func (c *Case) Record(format string, args ...any) { fmt.Print(c.RecordQuietly(format, args...)) }
 
@@ -224,6 +234,7 @@
 		close(exited)
 	}()
 	s.exited = exited
+	s.owner.notePID(process.Process.Pid)
 	s.owner.Record("%s: process %d started: %s", s.Name, process.Process.Pid, s.owner.runLine)
 	return s.awaitServing()
 }
--- a/review/kit/router.go
+++ b/review/kit/router.go
@@ -53,7 +53,7 @@
 
 // Router is one connection of a router to a server. It carries up to 32 open requests.
 type Router struct {
-	// Quiet writes what is sent and answered to the record only.
+	// Quiet writes one line for each try, once it has ended, to the record only.
 	Quiet bool
 
 	owner *Case
@@ -98,15 +98,6 @@
 	}
 }
 
-// note records what was sent or answered.
-func (r *Router) note(format string, args ...any) {
-	if r.Quiet {
-		r.owner.RecordQuietly(format, args...)
-	} else {
-		r.owner.Record(format, args...)
-	}
-}
-
 // Close closes the connection.
 func (r *Router) Close() { _ = r.link.Close() }
 
@@ -140,7 +131,9 @@
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	p.sentAt = time.Now()
-	r.note("%s: sent %s %s key=%q body=%q", request.Sender, p.ID, request.Class, request.Key, request.Body)
+	if !r.Quiet {
+		r.owner.Record("%s: sent %s %s key=%q body=%q", request.Sender, p.ID, request.Class, request.Key, request.Body)
+	}
 	if r.waiting == nil {
 		p.err = r.err
 		return p
@@ -169,10 +162,21 @@
 		}
 	}
 	answer.Took = time.Since(p.sentAt)
-	p.router.note("%s: %s answered %d body=%q after %d ms, error %v", p.request.Sender, p.ID,
-		answer.Status, answer.Body, answer.Took.Milliseconds(), answer.Err)
+	p.record(&answer)
 	return answer
 }
 
+// record writes how the try ended.
+func (p *Pending) record(answer *Answer) {
+	owner, request := p.router.owner, &p.request
+	if p.router.Quiet {
+		owner.RecordQuietly("sent %s %s %s %q, answered %d after %d ms, error %v", p.ID, request.Class, request.Key,
+			request.Body, answer.Status, answer.Took.Milliseconds(), answer.Err)
+		return
+	}
+	owner.Record("%s: %s answered %d body=%q after %d ms, error %v", request.Sender, p.ID, answer.Status, answer.Body,
+		answer.Took.Milliseconds(), answer.Err)
+}
+
 // Do sends a try and waits for its answer.
 func (r *Router) Do(request Request) Answer { return r.Send(request).Wait() }
