--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,7 +9,7 @@
 # The program ends what it started. Should it have ended early, what is left is ended here.
 while read -r pid; do
   [ -r "/proc/$pid/cmdline" ] || continue
-  if [ "$(tr '\\0' ' ' < "/proc/$pid/cmdline")" = "bin/thistlequay " ]; then kill -9 "$pid"; fi
+  if [ "$(tr '\0' ' ' < "/proc/$pid/cmdline")" = "bin/thistlequay " ]; then kill -9 "$pid"; fi
 done < "$REVIEW_PIDS"
 rm -f "$REVIEW_PIDS"
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
