Log what a restored link to the interpreter sends, and which replies are in doubt

Change: event=interpreter_ready at the end of the replay, with the numbers of APPLY, RESOLVE and BREAK commands that are sent then, and of replies that were sent on an earlier link to runs of which no notice has come since.

Tests of internal/server pass.

--- a/internal/server/interpreter.go
+++ b/internal/server/interpreter.go
@@ -164,31 +164,54 @@
 	c.server.stopTimer(&c.redialTimer)
 }
 
+// linkResumption counts, for the log, what a link that became ready found of the requests in progress.
+type linkResumption struct {
+	runsSent       int // APPLY commands sent, for the first time or again
+	repliesSent    int // RESOLVE commands sent, for the first time or again
+	stopsSent      int // BREAK commands sent, for the first time or again
+	repliesInDoubt int // replies sent on an earlier link to runs of which no notice has come since
+}
+
 // becomeReady makes the link ready for commands. On the first link it is called when admission has started, and on each
 // later link at the end of the replay of notices, for which commands must wait. It sends the commands that waited, and
 // ends the runs that were abandoned before their APPLY was sent.
-func (c *interpreterClient) becomeReady() {
+func (c *interpreterClient) becomeReady() (resumed linkResumption) {
 	c.state = linkReady
 	c.replayEndTag = ""
 	c.readySince = c.server.now
 	for _, req := range c.server.requests.byID {
-		c.sendPending(req)
+		c.sendPending(req, &resumed)
 	}
+	return resumed
 }
 
-// sendPending sends the commands of a request that waited for a link. If the request was abandoned before its APPLY was
-// sent, it ends the run instead of sending the APPLY.
-func (c *interpreterClient) sendPending(req *request) {
+// endReplay makes a link ready whose replay of notices has ended.
+func (c *interpreterClient) endReplay() {
+	resumed := c.becomeReady()
+	c.server.log.Event("interpreter_ready").Str("name", c.server.config.Name).Int("runs_sent", resumed.runsSent).
+		Int("replies_sent", resumed.repliesSent).Int("stops_sent", resumed.stopsSent).
+		Int("replies_in_doubt", resumed.repliesInDoubt).Send()
+}
+
+// sendPending sends the commands of a request that waited for a link, and counts them in resumed. If the request was
+// abandoned before its APPLY was sent, it ends the run instead of sending the APPLY.
+func (c *interpreterClient) sendPending(req *request, resumed *linkResumption) {
+	if req.lastReply != nil && !req.runDone {
+		resumed.repliesInDoubt++
+	}
 	switch {
 	case req.runDone:
 	case req.runPending && req.router == nil && !req.runSent: // abandoned before its APPLY was sent
 		req.endUnstartedRun()
 	case req.runPending && !req.runConfirmed:
 		c.run(req)
+		resumed.runsSent++
 	case req.pendingReply != nil && req.router != nil:
 		c.resolve(req, req.pendingReply)
+		resumed.repliesSent++
 	}
 	if req.stopPending {
 		c.stop(req)
+		resumed.stopsSent++
 	}
 }
--- a/internal/server/interpreternotices.go
+++ b/internal/server/interpreternotices.go
@@ -248,7 +248,7 @@
 		c.deliverGauges()
 	}
 	if c.replayEndTag != "" && tag == c.replayEndTag {
-		c.becomeReady()
+		c.endReplay()
 	}
 	return nil
 }
