--- a/internal/server/buffers.go
+++ b/internal/server/buffers.go
@@ -64,6 +64,10 @@
 	closeAfterWrite bool
 	readBeforeClose bool // closeAfterWrite waits until all input that has arrived has been read
 	maxUnread       int  // maximum number of bytes that the peer may leave unread
+
+	// onWritten is called when the connection has accepted the output, from when on the peer may receive it. It may be
+	// nil.
+	onWritten func()
 }
 
 // buffer returns the slice to append output to, and schedules the connection to be written at the end of the batch.
@@ -110,6 +114,9 @@
 func (b *outputBuffer) flush() {
 	if b.conn != nil && len(b.output) > 0 {
 		_, err := b.conn.Write(b.output)
+		if err == nil && b.onWritten != nil {
+			b.onWritten()
+		}
 		if err == nil && b.conn != nil {
 			b.server.enforceUnreadLimit(b)
 		}
--- a/internal/server/fixtures_test.go
+++ b/internal/server/fixtures_test.go
@@ -105,10 +105,13 @@
 	require.NoError(t, router.parser.Feed([]byte(records), router))
 }
 
-// takeOutput returns the pending output of a connection and clears it.
+// takeOutput returns the pending output of a connection and clears it, as if it had been written.
 func takeOutput(buffer *outputBuffer) string {
 	output := string(buffer.output)
 	buffer.output = nil
+	if buffer.onWritten != nil {
+		buffer.onWritten()
+	}
 	return output
 }
 
--- a/internal/server/interpreter.go
+++ b/internal/server/interpreter.go
@@ -42,6 +42,8 @@
 	categoryJSON [][]byte // the JSON-encoded name of each category
 	errorCount   int      // errors reported by the interpreter
 
+	unwrittenReplies []*request // requests whose RESOLVE is in the output
+
 	gauges            admission.Gauges
 	gaugesReceivedAt  timeunit.Ticks // when the gauges were received
 	gaugesRequestedAt timeunit.Ticks // when the pending query was sent; zero if none is pending
@@ -53,7 +55,7 @@
 }
 
 func (c *interpreterClient) init(server *Server) {
-	c.outputBuffer = outputBuffer{server: server, maxUnread: maxUnreadPerLink}
+	c.outputBuffer = outputBuffer{server: server, maxUnread: maxUnreadPerLink, onWritten: c.confirmWritten}
 	c.redialTimer.fire = c.dial
 	c.gaugeTimer.fire = c.deliverGauges
 	c.categoryJSON = make([][]byte, len(server.config.Settings.Categories))
@@ -118,7 +120,7 @@
 }
 
 // linkLost records that the link is gone; runs continue without it. The last commands may have been lost with the link,
-// so they are marked to be sent again once the next link is ready.
+// so those that may be repeated are marked to be sent again once the next link is ready.
 func (c *interpreterClient) linkLost() {
 	if c.state == linkReady {
 		c.server.log.Event("interpreter_lost").Uint64("last_notice", c.lastNotice).
@@ -129,6 +131,7 @@
 	if c.output != nil {
 		c.output = c.output[:0] // output for this link must not be sent on the next one
 	}
+	c.discardUnwritten()
 	for _, req := range c.server.requests.byID {
 		c.repeatLostCommands(req)
 	}
@@ -136,7 +139,8 @@
 
 // repeatLostCommands marks the commands of a request that must be sent again. This starts no second run: the
 // interpreter ignores an APPLY for a request that runs or whose run is over. A request that is not idempotent and whose
-// APPLY was sent longer than commandLossWindow ago is left to its deadline.
+// APPLY was sent longer than commandLossWindow ago is left to its deadline, and so is one whose RESOLVE was written:
+// unlike the others, a RESOLVE must not be repeated (see resolve).
 func (c *interpreterClient) repeatLostCommands(req *request) {
 	if req.runSent && !req.runConfirmed {
 		category := &c.server.config.Settings.Categories[req.category]
@@ -144,9 +148,6 @@
 		req.runPending = isIdempotent || c.mayBeLost(req.runSentAt)
 		req.isRunStartUnknown = !req.runPending
 	}
-	if req.lastReply != nil && c.mayBeLost(req.lastReplyAt) {
-		req.pendingReply = req.lastReply
-	}
 	req.stopPending = req.stopPending || req.stopSent
 }
 
@@ -167,7 +168,7 @@
 // linkResumption counts, for the log, what a link that became ready found of the requests in progress.
 type linkResumption struct {
 	runsSent       int // APPLY commands sent, for the first time or again
-	repliesSent    int // RESOLVE commands sent, for the first time or again
+	repliesSent    int // RESOLVE commands sent
 	stopsSent      int // BREAK commands sent, for the first time or again
 	repliesInDoubt int // replies sent on an earlier link to runs of which no notice has come since
 }
@@ -196,7 +197,7 @@
 // sendPending sends the commands of a request that waited for a link, and counts them in resumed. If the request was
 // abandoned before its APPLY was sent, it ends the run instead of sending the APPLY.
 func (c *interpreterClient) sendPending(req *request, resumed *linkResumption) {
-	if req.lastReply != nil && !req.runDone {
+	if req.isReplyUnconfirmed && !req.runDone {
 		resumed.repliesInDoubt++
 	}
 	switch {
--- a/internal/server/interpreter_socket_test.go
+++ b/internal/server/interpreter_socket_test.go
@@ -27,9 +27,10 @@
 	resumed.CompleteRun(router, 3, brief, "w")
 }
 
-// The last commands before the link breaks may be lost, so the server sends them again on its next link: the APPLY of a
-// run and the RESOLVE of a downstream call. If the interpreter replies MOOT, the run provably did not start, and its
-// idempotency key is free again.
+// The last commands before the link breaks may be lost, so the server sends them again on its next link where a second
+// copy has no effect: the APPLY of a run, but not the RESOLVE of a downstream call, which the run would take for the
+// reply to its next call. If the interpreter replies MOOT, the run provably did not start, and its idempotency key is
+// free again.
 func TestCommandsLostWithLinkAreSentAgain(t *testing.T) {
 	server, interpreter := servertest.Start(t)
 	router := server.ConnectRouter()
@@ -41,12 +42,13 @@
 	book := interpreter.StartBook(router, 2, "k")
 	servertest.CloseQuietly(interpreter)
 	interpreter = server.AcceptInterpreter(interpreter.LastNotice)
-	resent := map[string]bool{}
-	for range 2 {
-		command := interpreter.NextCommand()
-		resent[command.Type+" "+command.Job+" "+command.Data] = true
-	}
-	server.Equal(map[string]bool{"APPLY " + book + " ZW50cnkgaw==": true, "RESOLVE " + look + " b2s=": true}, resent)
+	interpreter.ExpectApply(book, "entry k")
+	server.WaitForLog("event=interpreter_ready name=n3 replies_in_doubt=1 replies_sent=0 runs_sent=1 stops_sent=0")
+	interpreter.SendAwait(look, "q2")
+	index = server.IndexCall(look)
+	server.WriteLine(index, "%s HIT 3\r\nok2\r", look)
+	reply := interpreter.NextCommand() // a second copy of the first reply would have come before
+	server.Equal("RESOLVE "+look+" b2sy", reply.Type+" "+reply.Job+" "+reply.Data)
 	interpreter.CompleteRun(router, 1, look, "w")
 	interpreter.SendValue(book, "MOOT", "")
 	router.ExpectResponse(2, 500, "")
@@ -54,6 +56,22 @@
 	interpreter.CompleteRun(router, 3, book, "b")
 }
 
+// A run whose reply was lost with the link never goes on. Its request is answered as failed at its deadline and its run
+// is stopped.
+func TestRequestWhoseReplyWasLostFailsAtItsDeadline(t *testing.T) {
+	server, interpreter := servertest.Start(t)
+	router := server.ConnectRouter()
+	brief := interpreter.StartBrief(router, 1)
+	interpreter.SendAwait(brief, "q")
+	index := server.IndexCall(brief)
+	server.WriteLine(index, "%s HIT 2\r\nok\r", brief)
+	interpreter.ExpectCommand("RESOLVE", brief) // the interpreter does not carry it out
+	servertest.CloseQuietly(interpreter)
+	interpreter = server.AcceptInterpreter(interpreter.LastNotice)
+	interpreter.ExpectCommand("BREAK", brief)
+	router.ExpectResponse(1, 500, "")
+}
+
 // After a malformed line from the interpreter, the server opens a new link. A request that the interpreter then does
 // not know is answered with 500.
 func TestMalformedInterpreterLineReopensLink(t *testing.T) {
--- a/internal/server/interpreter_test.go
+++ b/internal/server/interpreter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/stretchr/testify/require"
 
 	"thistlequay/internal/deployment"
@@ -29,6 +31,109 @@
 	})
 }
 
+// replyToFirstCall passes the index's reply to the first request's call to the server.
+func replyToFirstCall(t *testing.T, server *Server) {
+	t.Helper()
+	notify(t, server, `{"type":"AWAIT","n":1,"job":"%s","data":"cQ=="}`, firstID)
+	dispatchBatch(server)
+	require.NoError(t, openCallConnection(server).receive([]byte(firstID+" HIT 2\r\nok\r\n")))
+}
+
+// completeReplay makes a link that was opened ready, and returns the commands that the server then sends.
+func completeReplay(t *testing.T, server *Server) string {
+	t.Helper()
+	notify(t, server, `{"type":"BANNER","state":"WARM","took":1}`)
+	takeOutput(&server.interpreter.outputBuffer)
+	notify(t, server, `{"type":"TOPS","ref":"%s","gauges":[1,2]}`, server.interpreter.replayEndTag)
+	return takeOutput(&server.interpreter.outputBuffer)
+}
+
+const firstReply = `{"type":"RESOLVE","job":"` + firstID + `","data":"b2s="}` + "\n"
+
+// Guards against a run that is given the reply to an earlier call: a reply that the interpreter may have received is
+// not sent again on the next link, whether the link broke or the interpreter's address changed.
+func TestReplyThatMayHaveArrivedIsNotSentAgain(t *testing.T) {
+	for name, isBroken := range map[string]bool{"broken link": true, "new address": false} {
+		t.Run(name, func(t *testing.T) {
+			server, _ := newServerWithRun(t)
+			interpreter := &server.interpreter
+			interpreter.conn = discardConn{}
+			replyToFirstCall(t, server)
+			require.Equal(t, firstReply, string(interpreter.output))
+			server.writeOutput()
+			if isBroken {
+				interpreter.closed()
+			}
+			interpreter.opened(discardConn{})
+			require.Empty(t, completeReplay(t, server))
+			require.True(t, server.requests.byID[firstID].isReplyUnconfirmed)
+		})
+	}
+}
+
+// A reply that was never written to the link that broke is sent on the next one, once.
+func TestUnwrittenReplyIsSentOnNextLink(t *testing.T) {
+	server, _ := newServerWithRun(t)
+	interpreter := &server.interpreter
+	interpreter.conn = discardConn{}
+	replyToFirstCall(t, server)
+	interpreter.closed() // in the batch in which the reply came
+	interpreter.opened(discardConn{})
+	require.Equal(t, firstReply, completeReplay(t, server))
+	interpreter.closed()
+	interpreter.opened(discardConn{})
+	require.Empty(t, completeReplay(t, server))
+}
+
+// failingConn is a connection that is broken, so that the first write on it closes it, as gnet does.
+type failingConn struct {
+	discardConn
+	closed func()
+}
+
+func (c failingConn) Write([]byte) (int, error) {
+	c.closed()
+	return 0, io.ErrClosedPipe
+}
+
+// floodedConn is a connection whose peer leaves more output unread than any limit allows.
+type floodedConn struct{ discardConn }
+
+func (floodedConn) OutboundBuffered() int { return maxUnreadPerLink + 1 }
+
+// closingLoop is an event loop that closes connections synchronously, as gnet does.
+type closingLoop struct {
+	idleLoop
+	closed func()
+}
+
+func (l closingLoop) Close(gnet.Conn) error {
+	l.closed()
+	return nil
+}
+
+// A reply counts as sent if the connection accepted it, even if the connection is closed while it is written.
+func TestReplyInWriteThatEndsTheLink(t *testing.T) {
+	server, _ := newServerWithRun(t)
+	interpreter := &server.interpreter
+	interpreter.conn = failingConn{closed: interpreter.closed}
+	replyToFirstCall(t, server)
+	server.writeOutput()
+	require.Equal(t, linkDown, interpreter.state)
+	interpreter.opened(discardConn{})
+	require.Equal(t, firstReply, completeReplay(t, server))
+
+	server, _ = newServerWithRun(t)
+	interpreter = &server.interpreter
+	interpreter.conn = floodedConn{}
+	server.loop = closingLoop{closed: interpreter.closed}
+	replyToFirstCall(t, server)
+	server.writeOutput()
+	require.Equal(t, linkDown, interpreter.state)
+	interpreter.opened(discardConn{})
+	require.Empty(t, completeReplay(t, server))
+}
+
 // Admission's timer is delivered with fresh gauges, or after a bounded wait with stale ones if the link is slow.
 func TestWakeupWaitsForGaugesWithinBound(t *testing.T) {
 	server, _ := newRunningServer(t)
--- a/internal/server/interpretercommands.go
+++ b/internal/server/interpretercommands.go
@@ -36,17 +36,32 @@
 	c.output = append(c.beginCommand("BREAK", req), "}\n"...)
 }
 
-// resolve passes the reply to a run's downstream call to the interpreter, or keeps it until a link is ready.
+// resolve passes the reply to a run's downstream call to the interpreter, or keeps it until a link is ready. A RESOLVE
+// names a run but not the call that it answers, so it is written at most once for each call: if the run had received
+// it, it would take a second one for the reply to its next call.
 func (c *interpreterClient) resolve(req *request, reply []byte) {
 	req.reservation.Resume(c.server.now)
+	req.pendingReply = reply
 	if c.state != linkReady {
-		req.pendingReply = reply
 		return
 	}
-	req.pendingReply = nil
-	req.lastReply = reply
-	req.lastReplyAt = c.server.now
 	c.output = appendData(c.beginCommand("RESOLVE", req), reply)
+	c.unwrittenReplies = append(c.unwrittenReplies, req)
+}
+
+// confirmWritten records that the replies in the output have been written.
+func (c *interpreterClient) confirmWritten() {
+	for _, req := range c.unwrittenReplies {
+		req.isReplyUnconfirmed = req.pendingReply != nil
+		req.pendingReply = nil
+	}
+	c.discardUnwritten()
+}
+
+// discardUnwritten clears the list of unwritten replies. Those that are still pending are sent on the next link.
+func (c *interpreterClient) discardUnwritten() {
+	clear(c.unwrittenReplies) // so that the requests can be garbage collected
+	c.unwrittenReplies = c.unwrittenReplies[:0]
 }
 
 // beginCommand appends the start of a command, up to and including the request's ID, to the output and returns it.
--- a/internal/server/interpreternotices.go
+++ b/internal/server/interpreternotices.go
@@ -112,7 +112,7 @@
 	}
 	req := c.server.requests.byID[received.RequestID] // nil if the notice names no request, or an unknown one
 	if req != nil && received.Number > 0 {
-		req.lastReply = nil // a notice about a run after a reply proves that the reply arrived
+		req.isReplyUnconfirmed = false // a notice about a run after a reply proves that the reply arrived
 		req.pendingReply = nil
 	}
 	return c.handleNotice(&received, req)
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -62,11 +62,10 @@
 	stopSent          bool // the stop command was sent
 
 	// Downstream call that the run waits for, and the reply to it.
-	callBody     []byte
-	call         *indexCall // nil if no call is in flight or waiting
-	pendingReply []byte     // reply that has yet to be sent to the run
-	lastReply    []byte     // last reply that was sent, kept until the next notice about the run
-	lastReplyAt  timeunit.Ticks
+	callBody           []byte
+	call               *indexCall // nil if no call is in flight or waiting
+	pendingReply       []byte     // reply that has yet to be written to the interpreter
+	isReplyUnconfirmed bool       // a reply was written, and no notice of the run has come since
 }
 
 // respond writes the response if a router still waits for it.
