--- a/admission/calls.go
+++ b/admission/calls.go
@@ -24,7 +24,7 @@
 // startCall makes the downstream call of the request and reports whether the dependency may be called now.
 func (s *Server) startCall(request *Request) bool {
 	downstream := &s.downstream
-	isIdempotent := request.category.Idempotency == Idempotent
+	isIdempotent := request.idempotency == Idempotent
 	allowedUntil := downstream.allowedUntil(s.now, !isIdempotent)
 	if allowedUntil <= s.now {
 		return false
--- a/admission/host.go
+++ b/admission/host.go
@@ -23,6 +23,11 @@
 	// Category is an index into Config.Categories; an index out of range counts as the nearest valid one.
 	Category int
 
+	// IsIdempotent reports whether the request can run any number of times whatever its category states. The host sets
+	// it for a request that is treated as one of a category that is not its own. Such a request has no idempotency
+	// entry.
+	IsIdempotent bool
+
 	// Router identifies the router that sent the request. Any numbering is valid.
 	Router int
 
--- a/admission/idempotency.go
+++ b/admission/idempotency.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	earlier := arrival.RepeatOf
-	isKeyed := request.category.Idempotency == Keyed
+	isKeyed := request.idempotency == Keyed
 	replacesEarlier := isKeyed && earlier != nil && earlier.state == stateQueued &&
 		request.arrivedAt >= earlier.arrivedAt
 	mustShare := isKeyed && !replacesEarlier
--- a/admission/request.go
+++ b/admission/request.go
@@ -23,9 +23,10 @@
 	// ID is Arrival.ID, the host's own identifier.
 	ID uint64
 
-	server   *Server
-	category *categoryState
-	state    requestState
+	server      *Server
+	category    *categoryState
+	idempotency Idempotency // of its category, unless Arrival.IsIdempotent is set
+	state       requestState
 
 	arrivedAt    timeunit.Ticks // at the machine, before it was read
 	softDeadline timeunit.Ticks
@@ -97,7 +98,7 @@
 	case outcome == Succeeded:
 		s.cores.runsAwaitingCalls--
 		r.state = stateRunning
-	case outcome == NotExecuted || r.category.Idempotency == Idempotent && !r.isResolved():
+	case outcome == NotExecuted || r.idempotency == Idempotent && !r.isResolved():
 		// The backoff grows with the age of the run.
 		r.nextCallAt = s.now + max(s.timers.gaugeInterval, (s.now-r.startedAt)/2)
 		s.downstream.waiting = append(s.downstream.waiting, r)
@@ -170,7 +171,7 @@
 
 // stopUnneededRun stops a run whose answer nobody waits for and that can safely run again.
 func (s *Server) stopUnneededRun(request *Request) {
-	if request.state == stateRunning && s.canStopRuns && request.category.Idempotency == Idempotent &&
+	if request.state == stateRunning && s.canStopRuns && request.idempotency == Idempotent &&
 		!request.isAwaited {
 		s.host.StopRun(request)
 	}
--- a/admission/server.go
+++ b/admission/server.go
@@ -102,17 +102,22 @@
 
 func (s *Server) newRequest(arrival *Arrival) *Request {
 	category := s.categories[max(0, min(arrival.Category, len(s.categories)-1))]
+	idempotency := category.Idempotency
+	if arrival.IsIdempotent {
+		idempotency = Idempotent
+	}
 	request := &Request{
 		ID:            arrival.ID,
 		server:        s,
 		category:      category,
+		idempotency:   idempotency,
 		arrivedAt:     s.now - arrival.UnreadTime,
 		heapIndex:     notInHeap,
 		queuedKB:      arrival.QueuedKB,
 		startTag:      arrival.StartTag,
 		turn:          arrival.Turn,
 		expectedDelay: arrival.ExpectedDelay,
-		isCacheable:   arrival.Cacheable && category.Idempotency == Idempotent && s.entries.resultTTL > 0,
+		isCacheable:   arrival.Cacheable && idempotency == Idempotent && s.entries.resultTTL > 0,
 	}
 	request.softDeadline = request.arrivedAt + category.SoftDeadline
 	request.deadline = request.arrivedAt + category.Deadline
@@ -149,7 +154,7 @@
 // rejectOrKeepEntry rejects a request that must not be queued. Otherwise it keeps the idempotency entry that the
 // request needs before it can run.
 func (s *Server) rejectOrKeepEntry(request *Request) {
-	isKeyed := request.category.Idempotency == Keyed
+	isKeyed := request.idempotency == Keyed
 	switch {
 	case s.drain.isAfterGracePeriod(request.arrivedAt):
 		s.reject(request, noDeadline, false)
--- a/internal/server/fixtures_test.go
+++ b/internal/server/fixtures_test.go
@@ -43,13 +43,7 @@
 // request's router. The server's output stays in its buffers.
 func newRunningServer(t *testing.T) (*Server, *routerConnection) {
 	t.Helper()
-	settings, err := deployment.Read([]byte(testSettings))
-	require.NoError(t, err)
-	config := Config{Name: "n", MaxSockets: 64, MemoryBytes: 64 << 20, Settings: settings}
-	server := New(config, logs.New(io.Discard, logs.FormatText))
-	server.loop = idleLoop{}
-	server.now = 10_000_000
-	notify(t, server, `{"type":"BANNER","state":"WARM","took":1}`)
+	server := newIdleServer(t, testSettings)
 	router := connectRouter(server)
 	router.conn = nil
 	feed(t, router, wholeRequest)
@@ -59,6 +53,19 @@
 	return server, router
 }
 
+// newIdleServer returns a server without an engine whose interpreter is up. The settings are those of the platform.
+func newIdleServer(t *testing.T, settings string) *Server {
+	t.Helper()
+	parsed, err := deployment.Read([]byte(settings))
+	require.NoError(t, err)
+	config := Config{Name: "n", MaxSockets: 64, MemoryBytes: 64 << 20, Settings: parsed}
+	server := New(config, logs.New(io.Discard, logs.FormatText))
+	server.loop = idleLoop{}
+	server.now = 10_000_000
+	notify(t, server, `{"type":"BANNER","state":"WARM","took":1}`)
+	return server
+}
+
 // newServerWithRun is like newRunningServer, but the router is connected and the output to the interpreter so far is
 // discarded.
 func newServerWithRun(t *testing.T) (*Server, *routerConnection) {
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -43,6 +43,11 @@
 	return 2*t.server.config.Settings.BatchInterval + 2
 }
 
+// isIdempotent reports whether a request can run any number of times, which its own category states.
+func (t *requestTable) isIdempotent(req *request) bool {
+	return t.server.config.Settings.Categories[req.category].Idempotency == admission.Idempotent
+}
+
 // idempotencyKey returns the key of a request in the idempotency table, or "" if its category is not keyed. It includes
 // the category, because a result must not be shared with another category.
 func (t *requestTable) idempotencyKey(req *request) string {
--- a/internal/server/interpreter.go
+++ b/internal/server/interpreter.go
@@ -143,9 +143,7 @@
 // unlike the others, a RESOLVE must not be repeated (see resolve).
 func (c *interpreterClient) repeatLostCommands(req *request) {
 	if req.runSent && !req.runConfirmed {
-		category := &c.server.config.Settings.Categories[req.category]
-		isIdempotent := category.Idempotency == admission.Idempotent
-		req.runPending = isIdempotent || c.mayBeLost(req.runSentAt)
+		req.runPending = c.server.requests.isIdempotent(req) || c.mayBeLost(req.runSentAt)
 		req.isRunStartUnknown = !req.runPending
 	}
 	req.stopPending = req.stopPending || req.stopSent
--- a/internal/server/pluginevaluation.go
+++ b/internal/server/pluginevaluation.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"thistlequay/admission"
 	"thistlequay/internal/plugin"
 	"thistlequay/internal/plugin/abi"
 	"thistlequay/internal/plugin/chain"
@@ -52,13 +51,12 @@
 
 // chainRequest returns the description of a request that the chain works with.
 func (p *pluginSubsystem) chainRequest(req *request) chain.Request {
-	settings := p.server.config.Settings
 	deadline := min(req.deadline, p.server.shutdownDeadline)
 	return chain.Request{
 		Category:      req.category,
 		Tenant:        req.pluginTenant,
 		TimeLeft:      max(0, deadline-p.server.now),
-		CategoryFixed: settings.Categories[req.category].Idempotency != admission.Idempotent,
+		CategoryFixed: !p.server.requests.isIdempotent(req),
 	}
 }
 
--- a/internal/server/plugins_test.go
+++ b/internal/server/plugins_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os/exec"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,12 +18,20 @@
 func newServerWithPlugin(t *testing.T) (*Server, *pluginConnection) {
 	t.Helper()
 	server, _ := newServerWithRun(t)
+	return server, addPlugin(t, server)
+}
+
+// addPlugin gives a server one plug-in that has all permissions, and returns the plug-in's connection, which discards
+// output.
+func addPlugin(t *testing.T, server *Server) *pluginConnection {
+	t.Helper()
+	allCategories := slices.Repeat([]bool{true}, len(server.config.Settings.Categories))
 	policy := chain.Policy{
 		Name:                 "p",
 		Hooks:                [3]bool{true, true, true},
-		Categories:           []bool{true},
+		Categories:           allCategories,
 		MayReject:            true,
-		TargetCategories:     []bool{true},
+		TargetCategories:     allCategories,
 		MayTag:               true,
 		MayRewrite:           true,
 		CallTimeout:          100,
@@ -44,7 +53,56 @@
 	server.plugins.config = connection.config
 	server.plugins.current = connection
 	server.plugins.chain = pluginChain
-	return server, connection
+	return connection
+}
+
+// categorySettings define a category for each way in which a request may be repeated.
+const categorySettings = `{"Categories":[
+{"Effect":"repeatable","HardLimit":8000,"Name":"read","OnTime":4000,"Worth":1},
+{"Effect":"repeatable","HardLimit":8000,"Name":"other","OnTime":4000,"Worth":1},
+{"Effect":"by_key","HardLimit":8000,"Name":"keyed","OnTime":4000,"Window":5000,"Worth":1},
+{"Effect":"once","HardLimit":8000,"Name":"once","OnTime":4000,"Worth":1}],"FamilyInfo":{"CallShare":9,"CallsOver":5000,
+"Cores":2,"Downstream":"common","MemoryKb":80000,"Meters":["core_use","on_cores"],"RunFactor":8,"Halt":"drop"},
+"Servers":1,"Rules":{"TipMultiple":8}}`
+
+// Guards against a verdict that ends the server: a request that a plug-in moves into another category, whatever that
+// category says of repeats, runs in its own category, may still be repeated as that category allows, and is answered.
+func TestRequestMovedIntoAnyCategoryIsServed(t *testing.T) {
+	for _, target := range []string{"read", "other", "keyed", "once"} {
+		t.Run(target, func(t *testing.T) {
+			server := newIdleServer(t, categorySettings)
+			connection := addPlugin(t, server)
+			router := connectRouter(server)
+			params := paramsWith("SCRIPT_NAME", "/rpc/read", "HTTP_ONCE_KEY", "")
+			feed(t, router, requestRecords(1, params, "x"))
+			verdict := abi.Verdict{Actions: abi.ActionCategorize, Category: target}
+			deliverVerdict(t, server, connection, verdict)
+			require.Zero(t, connection.chain.Plugins[0].Faults)
+			run := `{"type":"APPLY","job":"` + firstID + `","kind":"read","data":"eA=="}`
+			require.Contains(t, takeOutput(&server.interpreter.outputBuffer), run)
+			require.Empty(t, server.requests.entries)
+
+			notify(t, server, `{"type":"AWAIT","n":1,"job":"%s","data":"cQ=="}`, firstID)
+			dispatchBatch(server)
+			openCallConnection(server).closed() // the call may have had its effect, and is made again
+			passTime(server, second)
+			require.NotNil(t, server.requests.byID[firstID].call, "the call is not made again")
+			require.NoError(t, openCallConnection(server).receive([]byte(firstID+" HIT 2\r\nok\r\n")))
+			notify(t, server, `{"type":"VALUE","n":2,"job":"%s","state":"OK","took":5,"data":"eA=="}`, firstID)
+			deliverVerdict(t, server, connection, abi.Verdict{})
+			require.Contains(t, string(router.output), "Status: 200 OK")
+			require.Zero(t, server.requests.count())
+		})
+	}
+}
+
+// deliverVerdict passes a verdict on the last call to the server.
+func deliverVerdict(t *testing.T, server *Server, connection *pluginConnection, verdict abi.Verdict) {
+	t.Helper()
+	payload := verdict.Append([]byte{byte(plugin.CallSucceeded), 100, 0, 0, 0})
+	frame := plugin.AppendFrame(nil, plugin.FrameVerdict, 0, server.plugins.lastCallID, payload)
+	require.NoError(t, connection.receive(frame))
+	dispatchBatch(server)
 }
 
 // The calls of a plug-in before and after a run, and the effects of its verdicts, match the golden file byte for byte.
--- a/internal/server/requesttable.go
+++ b/internal/server/requesttable.go
@@ -147,6 +147,9 @@
 		}
 	}
 	arrival := req.arrival
+	// A plug-in may have the request treated as one of another category, which changes neither what runs nor whether
+	// it may run again.
+	arrival.IsIdempotent = t.isIdempotent(req)
 	arrival.UnreadTime = max(0, t.server.now-req.receivedAt)
 	// Admission also decides on a request whose deadline has passed. A TimeLeft of 0 would mean that it is not known.
 	arrival.TimeLeft = max(1, req.deadline-t.server.now)
