--- a/internal/recovery/analysis.go
+++ b/internal/recovery/analysis.go
@@ -83,21 +83,27 @@
 		// An intent can only follow a completion if the window of the completed run had ended and the key was reused.
 		*outcome = Outcome{Key: record.Key}
 	}
-	outcome.BodyHash = record.BodyHash
 	outcome.WindowEnd = max(outcome.WindowEnd, windowEnd)
-	outcome.openAttempts = append(outcome.openAttempts, record.Attempt)
+	outcome.openAttempts = append(outcome.openAttempts, openAttempt{record.Attempt, record.BodyHash})
+	outcome.BodyHash = outcome.openAttempts[0].bodyHash
 }
 
-// addCompletion stores the result of the request. It ignores a key without an outcome, such as one whose window has
-// ended.
+// addCompletion stores the result of the attempt that ran, with the hash of that attempt's body. It ignores a key
+// without an outcome, such as one whose window has ended. If only the intents of other attempts are known, it is not
+// known which body the result belongs to, and retries get no result.
 func (a *Analysis) addCompletion(record *Record) {
 	outcome := a.outcomes[record.Key]
 	if outcome == nil {
 		return
 	}
 	outcome.Completed = true
-	outcome.Succeeded = record.Succeeded
-	outcome.Result = record.Payload
+	outcome.Succeeded = false
+	outcome.Result = nil
+	if i := outcome.indexOfAttempt(record.Attempt); i >= 0 {
+		outcome.BodyHash = outcome.openAttempts[i].bodyHash
+		outcome.Succeeded = record.Succeeded
+		outcome.Result = record.Payload
+	}
 }
 
 // addCancellation removes the intent of the cancelled attempt, and the outcome once no attempt is left that may have
@@ -107,11 +113,18 @@
 	if outcome == nil || outcome.Completed {
 		return
 	}
-	isCancelled := func(attempt uint64) bool { return attempt == record.Attempt }
+	isCancelled := func(attempt openAttempt) bool { return attempt.number == record.Attempt }
 	outcome.openAttempts = slices.DeleteFunc(outcome.openAttempts, isCancelled)
 	if len(outcome.openAttempts) == 0 {
 		delete(a.outcomes, record.Key)
+		return
 	}
+	outcome.BodyHash = outcome.openAttempts[0].bodyHash
+}
+
+// indexOfAttempt returns the index of an attempt in openAttempts, or -1.
+func (o *Outcome) indexOfAttempt(number uint64) int {
+	return slices.IndexFunc(o.openAttempts, func(attempt openAttempt) bool { return attempt.number == number })
 }
 
 // extendRejection makes the rejection of keyed requests without an outcome last at least until the given time of the
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -64,13 +64,20 @@
 // Outcome holds what is known about the request with one idempotency key, and so determines what a retry gets.
 type Outcome struct {
 	Key       string
-	BodyHash  [32]byte
+	BodyHash  [32]byte       // of the body that ran; if Completed is false, of the oldest open attempt
 	WindowEnd timeunit.Ticks // in the present wall clock
 	Completed bool           // if false, the request may have run without a known result, and retries are rejected
 	Succeeded bool
 	Result    []byte
 
-	openAttempts []uint64 // attempts with an intent that was neither completed nor cancelled
+	openAttempts []openAttempt // oldest first; kept after the completion of one of them
+}
+
+// openAttempt is an attempt whose intent was not cancelled. Attempts with the same key may have different bodies, since
+// the intent of an attempt is written before its body is compared with that of the attempt that has the key.
+type openAttempt struct {
+	number   uint64 // Record.Attempt
+	bodyHash [32]byte
 }
 
 // RecoveredState is the state that a new process starts with.
--- a/internal/server/store_socket_test.go
+++ b/internal/server/store_socket_test.go
@@ -200,6 +200,36 @@
 	router.ExpectResponse(2, 200, "result of 1 harmless")
 }
 
+// Guards against a stored result that is served to a client that used the key with another body while the request was
+// queued: after a restart, that client is rejected as before, and the true repeat gets the result.
+func TestStoredResultIsNotServedToAnotherBody(t *testing.T) {
+	server := servertest.New(t)
+	server.Service = servertest.StoreSection(filepath.Join(t.TempDir(), "store"), "")
+	config := server.Config
+	server.WriteFilesAndStart()
+	interpreter := server.AcceptInterpreter(0)
+	router := server.ConnectRouter()
+	running := []string{interpreter.StartLook(router, 1, "a"), interpreter.StartLook(router, 2, "b")}
+	router.SendTimedBook(3, "k") // queued: the limit is two runs
+	router.ExpectHealth(4, 200)
+	router.SendWith(5, "/rpc/book", "another body", "HTTP_ONCE_KEY", "k")
+	router.ExpectResponse(5, 422, "")
+	interpreter.CompleteRun(router, 1, running[0], "a")
+	interpreter.CompleteRun(router, 2, running[1], "b")
+	book := interpreter.NextCommand()
+	server.Equal("APPLY", book.Type)
+	interpreter.CompleteRun(router, 3, book.Job, "r")
+	server.Signal(syscall.SIGTERM)
+	server.WaitForExit()
+
+	server.StartWithInterpreter(t, config)
+	router = server.ConnectRouter()
+	router.SendWith(1, "/rpc/book", "another body", "HTTP_ONCE_KEY", "k")
+	router.ExpectResponse(1, 422, "")
+	router.SendTimedBook(2, "k")
+	router.ExpectResponse(2, 200, "r")
+}
+
 // Measures the response times of keyed and of idempotent requests without a store and with each durability, and the
 // time that the intent record adds to a keyed request. The store must not cause any rejection.
 func TestMeasuredStoreLatency(t *testing.T) {
