A connection to the index never carries two calls of one request

A run could have been given a second copy of the reply to an earlier call, and its client the wrong result.

Cause: replies of the index name the request and no call, and the index may send a second copy of one. assign and release kept a call off the connection whose last call was for the same request, but not off one that had carried a call of another request in between.

Change: a request remembers the open connections that carried its calls, and none of them carries another. lastRequestID of the connection goes.

Why this works: a copy can only come on the connection of its call, and no later call of the request is there.

--- a/internal/server/index.go
+++ b/internal/server/index.go
@@ -117,13 +117,13 @@
 }
 
 // assign sends a call on an idle connection, or dials one, or queues the call if the pool is full. It prefers the
-// connection that became idle last, which is the most likely to be alive, and skips one whose last call was for the
-// same request: a second copy of the earlier reply could still arrive on it.
+// connection that became idle last, which is the most likely to be alive, and skips those that carried an earlier call of
+// the same request.
 func (c *indexClient) assign(call *indexCall) {
 	c.closeExpired() // the timer is late if the process was paused
 	for i := len(c.idle) - 1; i >= 0; i-- {
 		connection := c.idle[i]
-		if connection.lastRequestID != call.request.id {
+		if !call.request.hasCalledOn(connection) {
 			c.idle = slices.Delete(c.idle, i, i+1)
 			connection.send(call)
 			return
--- a/internal/server/indexconnection.go
+++ b/internal/server/indexconnection.go
@@ -33,9 +33,8 @@
 	idleSince  timeunit.Ticks
 	generation int // indexClient.generation at the start of its dial
 
-	call          *indexCall
-	lastRequestID string // of the current call, or of the last one
-	partial       []byte // the incomplete reply read so far
+	call    *indexCall
+	partial []byte // the incomplete reply read so far
 }
 
 // opened sends the call that the connection was dialed for. If that call has ended, it releases the connection.
@@ -54,7 +53,7 @@
 	p.state = pooledBusy
 	p.call = call
 	call.connection = p
-	p.lastRequestID = call.request.id
+	call.request.addCallConnection(p)
 	p.client.unwritten = append(p.client.unwritten, p)
 	body := call.request.callBody
 	out := append(p.buffer(), "GET "...)
@@ -82,7 +81,7 @@
 		return
 	}
 	for i, call := range p.client.waiting {
-		if call.request.id != p.lastRequestID {
+		if !call.request.hasCalledOn(p) {
 			p.client.waiting = slices.Delete(p.client.waiting, i, i+1)
 			p.send(call)
 			return
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"slices"
+
 	"thistlequay/admission"
 	"thistlequay/internal/fairqueue"
 	"thistlequay/internal/fastcgi"
@@ -63,9 +65,22 @@
 
 	// Downstream call that the run waits for, and the reply to it.
 	callBody           []byte
-	call               *indexCall // nil if no call is in flight or waiting
-	pendingReply       []byte     // reply that has yet to be written to the interpreter
-	isReplyUnconfirmed bool       // a reply was written, and no notice of the run has come since
+	call               *indexCall          // nil if no call is in flight or waiting
+	callConnections    []*pooledConnection // open connections that carried one of its calls
+	pendingReply       []byte              // reply that has yet to be written to the interpreter
+	isReplyUnconfirmed bool                // a reply was written, and no notice of the run has come since
+}
+
+// addCallConnection records that a connection carries a call of the request.
+func (r *request) addCallConnection(connection *pooledConnection) {
+	isClosed := func(other *pooledConnection) bool { return other.state == pooledClosed }
+	r.callConnections = append(slices.DeleteFunc(r.callConnections, isClosed), connection)
+}
+
+// hasCalledOn reports whether a connection carried an earlier call of the request. A second copy of the reply to that
+// call may still come on it, and replies name only the request.
+func (r *request) hasCalledOn(connection *pooledConnection) bool {
+	return slices.Contains(r.callConnections, connection)
 }
 
 // respond writes the response if a router still waits for it.
