Pause monitor: its tick callback returns nothing

Change: signalWatch.observe checks the signal for the monitor; the callback has no result. Nothing else changes.

--- a/internal/server/pausemonitor.go
+++ b/internal/server/pausemonitor.go
@@ -53,7 +53,7 @@
 
 // start begins to monitor and returns a function that ends the monitor's goroutine. clock returns the current time on
 // the server's clock. The goroutine calls onTick at each tick. Both functions must be safe for concurrent use.
-func (m *pauseMonitor) start(clock func() timeunit.Ticks, onTick func(now timeunit.Ticks) bool) (stop func()) {
+func (m *pauseMonitor) start(clock func() timeunit.Ticks, onTick func(now timeunit.Ticks)) (stop func()) {
 	m.tick(clock())
 	stopped := make(chan struct{})
 	go m.run(clock, onTick, stopped)
@@ -61,9 +61,7 @@
 }
 
 // run records the lateness of its ticks until stopped is closed.
-func (m *pauseMonitor) run(
-	clock func() timeunit.Ticks, onTick func(now timeunit.Ticks) bool, stopped <-chan struct{},
-) {
+func (m *pauseMonitor) run(clock func() timeunit.Ticks, onTick func(now timeunit.Ticks), stopped <-chan struct{}) {
 	ticker := time.NewTicker(pauseMonitorInterval.Duration())
 	defer ticker.Stop()
 	for {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -149,7 +149,7 @@
 	if err := checkAddressFree(s.config.Listen); err != nil {
 		return err
 	}
-	stopMonitor := s.pauseMonitor.start(s.clock.elapsed, s.shutdownSignal.check)
+	stopMonitor := s.pauseMonitor.start(s.clock.elapsed, s.shutdownSignal.observe)
 	defer stopMonitor()
 	err := gnet.Run(s, "tcp://"+s.config.Listen, gnet.WithNumEventLoop(1), gnet.WithReusePort(true),
 		gnet.WithReuseAddr(true), gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(bufferSize),
--- a/internal/server/shutdownsignal.go
+++ b/internal/server/shutdownsignal.go
@@ -43,6 +43,9 @@
 	return false
 }
 
+// observe checks the signal so that maxAge knows when it was not yet delivered. It may be called from any goroutine.
+func (w *signalWatch) observe(now timeunit.Ticks) { w.check(now) }
+
 // maxAge returns the longest time for which the signal may have been delivered, or 0 if it was not or if it already was
 // at the first check.
 func (w *signalWatch) maxAge(now timeunit.Ticks) timeunit.Ticks {
