--- a/internal/server/index.go
+++ b/internal/server/index.go
@@ -117,8 +117,8 @@
 }
 
 // assign sends a call on an idle connection, or dials one, or queues the call if the pool is full. It prefers the
-// connection that became idle last, which is the most likely to be alive, and skips those that carried an earlier call of
-// the same request.
+// connection that became idle last, which is the most likely to be alive, and skips those that carried an earlier call
+// of the same request.
 func (c *indexClient) assign(call *indexCall) {
 	c.closeExpired() // the timer is late if the process was paused
 	for i := len(c.idle) - 1; i >= 0; i-- {
