--- /dev/null
+++ b/review/rig2/peers.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// index is a stand-in for the index that all app servers share. Each call takes a fixed time. It records how many calls
+// were in its hands at each moment, and who made them.
+type index struct {
+	address string
+	delay   time.Duration
+
+	mutex    sync.Mutex
+	inFlight int
+	since    time.Time // of the last change of inFlight
+	spans    []span
+}
+
+// span is a time during which the number of calls in hand did not change.
+type span struct {
+	from, to time.Time
+	calls    int
+}
+
+// newIndex starts an index on a free loopback address.
+func newIndex(delay time.Duration) *index {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	x := &index{address: listener.Addr().String(), delay: delay, since: time.Now()}
+	go acceptLoop(listener, x.serve)
+	return x
+}
+
+// count changes the number of calls in hand.
+func (x *index) count(change int) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	now := time.Now()
+	x.spans = append(x.spans, span{x.since, now, x.inFlight})
+	x.since = now
+	x.inFlight += change
+}
+
+func (x *index) serve(conn net.Conn) {
+	defer closeQuietly(conn)
+	reader := bufio.NewReader(conn)
+	var mutex sync.Mutex
+	open := map[string]*time.Timer{}
+	giveUp := func(id string) { // mutex is held
+		if timer := open[id]; timer != nil && timer.Stop() {
+			x.count(-1)
+		}
+		delete(open, id)
+	}
+	defer func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		for id := range open {
+			giveUp(id)
+		}
+	}()
+	for {
+		id, err := readCall(reader)
+		if err != nil {
+			return
+		}
+		mutex.Lock()
+		giveUp(strings.TrimPrefix(id, "STOP "))
+		if !strings.HasPrefix(id, "STOP ") {
+			x.count(1)
+			open[id] = time.AfterFunc(x.delay, func() {
+				mutex.Lock()
+				defer mutex.Unlock()
+				delete(open, id)
+				x.count(-1)
+				_, _ = fmt.Fprintf(conn, "%s HIT %d\r\nreply to %s\r\n", id, len("reply to ")+len(id), id)
+			})
+		}
+		mutex.Unlock()
+	}
+}
+
+// readCall reads one GET with its body and returns the id, or "STOP id".
+func readCall(reader *bufio.Reader) (string, error) {
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	fields := strings.Fields(line)
+	if len(fields) == 2 && fields[0] == "STOP" {
+		return "STOP " + fields[1], nil
+	}
+	if len(fields) != 4 || fields[0] != "GET" {
+		return "", io.ErrUnexpectedEOF
+	}
+	length, err := strconv.Atoi(fields[3])
+	if err != nil {
+		return "", err
+	}
+	_, err = io.CopyN(io.Discard, reader, int64(length)+2)
+	return fields[1], err
+}
+
+// peakMean returns the largest mean of the calls in hand over a window that ends within [from, to], and when it ended.
+func (x *index) peakMean(window time.Duration, from, to time.Time) (peak float64, at time.Time) {
+	x.count(0)
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	for end := from; end.Before(to); end = end.Add(50 * time.Millisecond) {
+		begin := end.Add(-window)
+		total := 0.0
+		for _, s := range x.spans {
+			overlap := minTime(s.to, end).Sub(maxTime(s.from, begin))
+			if overlap > 0 {
+				total += overlap.Seconds() * float64(s.calls)
+			}
+		}
+		if mean := total / window.Seconds(); mean > peak {
+			peak = mean
+			at = end
+		}
+	}
+	return peak, at
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// newDirectory starts a stand-in for the directory, which answers every report with 204, and returns its address.
+func newDirectory() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	go acceptLoop(listener, func(conn net.Conn) {
+		defer closeQuietly(conn)
+		reader := bufio.NewReader(conn)
+		for {
+			length := 0
+			for {
+				line, err := reader.ReadString('\n')
+				if err != nil {
+					return
+				}
+				if value, found := strings.CutPrefix(strings.ToLower(line), "content-length:"); found {
+					length, _ = strconv.Atoi(strings.TrimSpace(value)) // 0 shows as a malformed next line
+				}
+				if strings.TrimSpace(line) == "" {
+					break
+				}
+			}
+			if _, err := io.CopyN(io.Discard, reader, int64(length)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	})
+	return listener.Addr().String()
+}
