Review, case 10: silent connections to the gossip address end the process

With peers on and 384 descriptors, 500 connections to the gossip address on which nothing is sent use up the descriptors; the next accept for a router fails and the process exits with status 1. Without them it serves to the end.

--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -77,6 +77,7 @@
 	listen      string
 	platform    object
 	service     string // YAML; empty for none
+	descriptors int    // limit that the platform sets; 0 for none
 	interpreter *interpreter
 	process     *exec.Cmd
 	exited      chan struct{}
@@ -113,7 +114,7 @@
 	text, err := json.Marshal(s.platform)
 	check(err)
 	config := s.rig.write(s.name+".json", string(text))
-	s.process = exec.Command("/bin/sh", "-c", "exec bin/thistlequay")
+	s.process = exec.Command("/bin/sh", "-c", s.runCommand())
 	s.process.Env = append(os.Environ(), "PROXY_NAME="+s.name, "PROXY_LISTEN="+s.listen, "PROXY_CONFIG="+config)
 	if s.service != "" {
 		s.process.Env = append(s.process.Env, "THISTLEQUAY_SERVICE="+s.rig.write(s.name+".yaml", s.service))
--- a/review/rig2/shares.go
+++ b/review/rig2/shares.go
@@ -10,11 +10,15 @@
 
 func init() { scenarios["9"] = hallComesBack }
 
-// peersSection returns the section peers of the i-th of three founders, with their gossip addresses.
+// peersSection returns the section peers of the i-th server of a fleet, all founders, with the gossip addresses of all.
 func (r *rig) peersSection(i int, gossip []string) string {
 	r.write("peers.keys", base64.StdEncoding.EncodeToString([]byte("sixteen byte key"))+"\n")
-	return fmt.Sprintf("peers:\n  listen: %s\n  first: [%s]\n  founders: [n1, n2, n3]\n  fleet: small\n  servers: %d\n"+
-		"  key_file: peers.keys\n", gossip[i], strings.Join(gossip, ", "), len(gossip))
+	var names []string
+	for number := range gossip {
+		names = append(names, fmt.Sprintf("n%d", number+1))
+	}
+	return fmt.Sprintf("peers:\n  listen: %s\n  first: [%s]\n  founders: [%s]\n  fleet: small\n  servers: %d\n"+
+		"  key_file: peers.keys\n", gossip[i], strings.Join(gossip, ", "), strings.Join(names, ", "), len(gossip))
 }
 
 // hallComesBack kills one of three app servers, a hall of its own, for 15 s, while all are asked for more calls than
