--- a/review/rig2/flood.go
+++ b/review/rig2/flood.go
@@ -27,21 +27,16 @@
 	s.start()
 	stop := make(chan struct{})
 	var load sync.WaitGroup
-	for range 4 {
+	for range 8 {
 		load.Go(func() { keepAsking(s, &sync.Map{}, stop) })
 	}
 	time.Sleep(2 * time.Second)
-	if r.trouble {
-		for range silentConnections {
-			conn, err := net.DialTimeout("tcp", gossip, time.Second)
-			if err != nil {
-				break // the process has ended, or its backlog is full
-			}
-			defer closeQuietly(conn)
+	for range 3 {
+		if r.trouble {
+			r.openSilently(gossip)
 		}
-		r.log.add("%d connections to the gossip address were opened, with nothing sent", silentConnections)
+		time.Sleep(2 * time.Second)
 	}
-	time.Sleep(5 * time.Second)
 	close(stop)
 	load.Wait()
 	select {
@@ -53,6 +48,20 @@
 	}
 }
 
+// openSilently opens silentConnections connections to an address, says nothing on them, and closes them after 2 s.
+func (r *rig) openSilently(address string) {
+	opened := 0
+	for range silentConnections {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			break // the process has ended, or its backlog is full
+		}
+		opened++
+		time.AfterFunc(2*time.Second, func() { closeQuietly(conn) })
+	}
+	r.log.add("%d connections to the gossip address were opened, nothing is sent on them", opened)
+}
+
 // runCommand returns the command of the deploy file, under the platform's limit of descriptors, if any.
 func (s *server) runCommand() string {
 	const deployed = "exec bin/thistlequay"
