Review: the cases in the order of their gravity, and a longer wait in the reload

Case 7 is now the silent connections, 8 the section read by SIGHUP, 9 the refused repeats, 10 the restart at full rate; scripts name their scenario by a word.

--- a/review/rig2/flood.go
+++ b/review/rig2/flood.go
@@ -9,7 +9,7 @@
 	"thistlequay/internal/emulator"
 )
 
-func init() { scenarios["10"] = silentClients }
+func init() { scenarios["silent"] = silentClients }
 
 // silentConnections is how many connections the silent clients open.
 const silentConnections = 500
--- a/review/rig2/overload.go
+++ b/review/rig2/overload.go
@@ -7,7 +7,7 @@
 	"thistlequay/internal/emulator"
 )
 
-func init() { scenarios["7"] = repeatAmongBadClients }
+func init() { scenarios["refused"] = repeatAmongBadClients }
 
 // badConnections times badRequests half requests are open at once, held by clients that never finish them.
 const (
--- a/review/rig2/reload.go
+++ b/review/rig2/reload.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { scenarios["9"] = sectionByReload }
+func init() { scenarios["reload"] = sectionByReload }
 
 // sectionByReload puts the section peers into the service files of three app servers, has them read their files, as for
 // any new configuration, and then restarts the first of them, as for a release. All are asked for more calls than the
@@ -43,7 +43,7 @@
 			s.signal(syscall.SIGHUP)
 		}
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(25 * time.Second) // until they have agreed on a cluster configuration, if they do
 	first := fleet[0]
 	down.Store(first, true)
 	first.signal(syscall.SIGTERM)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -286,7 +286,7 @@
 // longestRun is the time after which a case ends with status 2.
 const longestRun = 110 * time.Second
 
-// scenarios are the cases by the number of their folders.
+// scenarios are the cases by the names that their scripts give.
 var scenarios = map[string]func(*rig) bool{}
 
 func main() {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -71,8 +71,8 @@
 }
 
 func init() {
-	scenarios["6"] = releaseWithAnotherCategory
-	scenarios["8"] = restartAtFullRate
+	scenarios["release"] = releaseWithAnotherCategory
+	scenarios["restart"] = restartAtFullRate
 }
 
 // releaseWithAnotherCategory restarts an app server with a store, by a release whose configuration has one category
