--- a/review/rig2/flood.go
+++ b/review/rig2/flood.go
@@ -23,6 +23,7 @@
 	s.platform["limits"] = object{"cores": 1.0, "memory_mb": 192, "sockets": 384}
 	s.descriptors = 384
 	gossip := freeAddress()
+	r.writeKeys()
 	s.service = r.peersSection(0, []string{gossip})
 	s.start()
 	stop := make(chan struct{})
--- a/review/rig2/reload.go
+++ b/review/rig2/reload.go
@@ -36,10 +36,13 @@
 	}
 	begin := time.Now()
 	time.Sleep(10 * time.Second)
+	r.writeKeys()
 	for i, s := range fleet {
 		s.service = r.peersSection(i, gossip)
 		r.write(s.name+".yaml", s.service)
-		if r.trouble {
+	}
+	if r.trouble {
+		for _, s := range fleet {
 			s.signal(syscall.SIGHUP)
 		}
 	}
--- a/review/rig2/shares.go
+++ b/review/rig2/shares.go
@@ -8,9 +8,13 @@
 	"time"
 )
 
+// writeKeys writes the key file that the sections peers name. It must not be written again while a server may read it.
+func (r *rig) writeKeys() {
+	r.write("peers.keys", base64.StdEncoding.EncodeToString([]byte("sixteen byte key"))+"\n")
+}
+
 // peersSection returns the section peers of the i-th server of a fleet, all founders, with the gossip addresses of all.
 func (r *rig) peersSection(i int, gossip []string) string {
-	r.write("peers.keys", base64.StdEncoding.EncodeToString([]byte("sixteen byte key"))+"\n")
 	var names []string
 	for number := range gossip {
 		names = append(names, fmt.Sprintf("n%d", number+1))
