--- a/review/rig2/flood.go
+++ b/review/rig2/flood.go
@@ -18,7 +18,7 @@
 // nothing on them, while a router sends its requests. The platform gives the process the descriptors that the
 // configuration names.
 func silentClients(r *rig) bool {
-	s := r.newServer("n1", settings(1, 6, 5, category("look", "repeatable")), newIndex(20*time.Millisecond).address,
+	s := r.newServer("n1", settings(1, 6, 5, category("look", "repeatable")), newIndex(20*time.Millisecond),
 		newDirectory())
 	s.platform["limits"] = object{"cores": 1.0, "memory_mb": 192, "sockets": 384}
 	s.descriptors = 384
--- a/review/rig2/interpreter.go
+++ b/review/rig2/interpreter.go
@@ -16,17 +16,16 @@
 // numbered and kept, a new link replaces the one before, runs continue without a link, and a request runs at most once.
 // The body of a request states its work: "ms=200 calls=1 ...".
 type interpreter struct {
-	address  string
-	listener net.Listener
-	log      *record
-	name     string
-	cores    int
+	*door
+	log   *record
+	name  string
+	cores int
 
-	mutex   sync.Mutex
+	state   sync.Mutex // guards the fields below
 	link    net.Conn
 	notices []string
 	jobs    map[string]*job
-	banner  string
+	banner  func() string
 	killed  bool
 }
 
@@ -41,27 +40,22 @@
 	hasEnded       bool
 }
 
-// newInterpreter starts an interpreter on a free loopback address.
+// newInterpreter starts an interpreter on a free loopback address, which was warm when the day began.
 func newInterpreter(name string, cores int, log *record) *interpreter {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	v := &interpreter{
-		address: listener.Addr().String(), listener: listener, log: log, name: name, cores: cores,
-		jobs: map[string]*job{}, banner: `{"type":"BANNER","state":"WARM","took":3600000}`,
-	}
-	go acceptLoop(listener, v.serve)
+	v := &interpreter{log: log, name: name, cores: cores, jobs: map[string]*job{}}
+	v.banner = func() string { return `{"type":"BANNER","state":"WARM","took":3600000}` }
+	v.door = openDoor(v.serve)
 	return v
 }
 
-// acceptLoop serves each connection of a listener until the listener is closed.
-func acceptLoop(listener net.Listener, serve func(net.Conn)) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go serve(conn)
+// newColdInterpreter starts one in place of one that was killed.
+func newColdInterpreter(name string, cores int, log *record) *interpreter {
+	v := newInterpreter(name, cores, log)
+	startedAt := time.Now()
+	v.banner = func() string {
+		return fmt.Sprintf(`{"type":"BANNER","state":"COLD","took":%d}`, time.Since(startedAt).Milliseconds())
 	}
+	return v
 }
 
 // command is one line from the app server.
@@ -72,7 +66,6 @@
 }
 
 func (v *interpreter) serve(conn net.Conn) {
-	defer closeQuietly(conn)
 	reader := bufio.NewReader(conn)
 	for {
 		line, err := reader.ReadBytes('\n')
@@ -88,8 +81,8 @@
 }
 
 func (v *interpreter) execute(conn net.Conn, c *command) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
+	v.state.Lock()
+	defer v.state.Unlock()
 	if c.Type == "CONNECT" {
 		v.connect(conn, c.N)
 		return
@@ -122,7 +115,7 @@
 		closeQuietly(v.link)
 	}
 	v.link = conn
-	v.send(v.banner)
+	v.send(v.banner())
 	for _, notice := range v.notices[min(received, len(v.notices)):] {
 		v.send(notice)
 	}
@@ -156,8 +149,8 @@
 // schedule lets a run work on its next piece.
 func (v *interpreter) schedule(j *job) {
 	time.AfterFunc(j.pieces, func() {
-		v.mutex.Lock()
-		defer v.mutex.Unlock()
+		v.state.Lock()
+		defer v.state.Unlock()
 		switch {
 		case j.hasEnded || v.killed:
 		case j.callsLeft == 0:
@@ -187,8 +180,8 @@
 
 // requestOver tells the interpreter that a request was answered or that its caller has gone.
 func (v *interpreter) requestOver(id string) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
+	v.state.Lock()
+	defer v.state.Unlock()
 	if j := v.jobs[id]; j != nil && !j.hasEnded {
 		j.isOver = true
 		if j.isAtCall {
@@ -211,8 +204,8 @@
 
 // breakLink closes the link; runs continue.
 func (v *interpreter) breakLink() {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
+	v.state.Lock()
+	defer v.state.Unlock()
 	if v.link != nil {
 		closeQuietly(v.link)
 		v.link = nil
@@ -221,17 +214,17 @@
 
 // kill ends the interpreter together with its app server: all runs end without a notice.
 func (v *interpreter) kill() {
-	closeQuietly(v.listener)
+	v.shut()
 	v.breakLink()
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
+	v.state.Lock()
+	defer v.state.Unlock()
 	v.killed = true
 }
 
 // runs returns the ids of the jobs whose body is the given one.
 func (v *interpreter) runs(body string) (ids []string) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
+	v.state.Lock()
+	defer v.state.Unlock()
 	for _, j := range v.jobs {
 		if j.body == body {
 			ids = append(ids, j.id)
--- a/review/rig2/overload.go
+++ b/review/rig2/overload.go
@@ -15,11 +15,11 @@
 	badRequests    = 30
 )
 
-// repeatAmongBadClients has five keyed items run, longer than their callers wait. Each comes again, and once more,
-// while bad clients hold six hundred half requests open.
+// repeatAmongBadClients has five keyed items run, longer than their callers wait. Each comes again once, while
+// bad clients hold six hundred half requests open.
 func repeatAmongBadClients(r *rig) bool {
 	plan := settings(1, 6, 5, category("look", "repeatable"), category("book", "by_key"))
-	s := r.newServer("n1", plan, newIndex(20*time.Millisecond).address, newDirectory())
+	s := r.newServer("n1", plan, newIndex(20*time.Millisecond), newDirectory())
 	s.platform["limits"] = object{"cores": 1.0, "memory_mb": 64, "sockets": 384}
 	s.start()
 	begin := time.Now()
@@ -32,15 +32,13 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	refused, asked := 0, 0
-	for range 2 {
-		for _, item := range items {
-			status, _ := s.send(item.repeat())
-			asked++
-			if isRefusal(status) && len(s.interpreter.runs(item.body)) > 0 {
-				refused++
-			}
-			time.Sleep(50 * time.Millisecond)
+	for _, item := range items {
+		status, _ := s.send(item.repeat())
+		asked++
+		if isRefusal(status) && len(s.interpreter.runs(item.body)) > 0 {
+			refused++
 		}
+		time.Sleep(50 * time.Millisecond)
 	}
 	clients.Wait()
 	inTime(begin, window)
--- a/review/rig2/peers.go
+++ b/review/rig2/peers.go
@@ -14,10 +14,10 @@
 // index is a stand-in for the index that all app servers share. Each call takes a fixed time. It records how many calls
 // were in its hands at each moment, and who made them.
 type index struct {
-	address string
-	delay   time.Duration
+	*door
+	delay time.Duration
 
-	mutex    sync.Mutex
+	state    sync.Mutex // guards the fields below
 	inFlight int
 	since    time.Time // of the last change of inFlight
 	spans    []span
@@ -31,17 +31,15 @@
 
 // newIndex starts an index on a free loopback address.
 func newIndex(delay time.Duration) *index {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	x := &index{address: listener.Addr().String(), delay: delay, since: time.Now()}
-	go acceptLoop(listener, x.serve)
+	x := &index{delay: delay, since: time.Now()}
+	x.door = openDoor(x.serve)
 	return x
 }
 
 // count changes the number of calls in hand.
 func (x *index) count(change int) {
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
+	x.state.Lock()
+	defer x.state.Unlock()
 	now := time.Now()
 	x.spans = append(x.spans, span{x.since, now, x.inFlight})
 	x.since = now
@@ -49,7 +47,6 @@
 }
 
 func (x *index) serve(conn net.Conn) {
-	defer closeQuietly(conn)
 	reader := bufio.NewReader(conn)
 	var mutex sync.Mutex
 	open := map[string]*time.Timer{}
@@ -111,8 +108,8 @@
 // peakMean returns the largest mean of the calls in hand over a window that ends within [from, to], and when it ended.
 func (x *index) peakMean(window time.Duration, from, to time.Time) (peak float64, at time.Time) {
 	x.count(0)
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
+	x.state.Lock()
+	defer x.state.Unlock()
 	for end := from; end.Before(to); end = end.Add(50 * time.Millisecond) {
 		begin := end.Add(-window)
 		total := 0.0
@@ -153,12 +150,9 @@
 	return b
 }
 
-// newDirectory starts a stand-in for the directory, which answers every report with 204, and returns its address.
-func newDirectory() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	go acceptLoop(listener, func(conn net.Conn) {
-		defer closeQuietly(conn)
+// newDirectory starts a stand-in for the directory, which answers every report with 204.
+func newDirectory() *door {
+	return openDoor(func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		for {
 			length := 0
@@ -180,5 +174,4 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
 		}
 	})
-	return listener.Addr().String()
 }
--- a/review/rig2/reload.go
+++ b/review/rig2/reload.go
@@ -20,7 +20,7 @@
 	var gossip []string
 	var fleet []*server
 	for i := range servers {
-		s := r.newServer(fmt.Sprintf("n%d", i+1), plan, x.address, directory)
+		s := r.newServer(fmt.Sprintf("n%d", i+1), plan, x, directory)
 		s.service = "{}\n"
 		s.start()
 		fleet = append(fleet, s)
@@ -42,9 +42,7 @@
 		r.write(s.name+".yaml", s.service)
 	}
 	if r.trouble {
-		for _, s := range fleet {
-			s.signal(syscall.SIGHUP)
-		}
+		moveAll(x, directory, fleet)
 	}
 	time.Sleep(25 * time.Second) // until they have agreed on a cluster configuration, if they do
 	first := fleet[0]
@@ -63,3 +61,16 @@
 	return r.verdict(peak <= servers*share, "the mean of 5 s peaked at %.2f calls at %.1f s; the shares add up to %.0f",
 		peak, at.Sub(r.log.start).Seconds(), servers*share)
 }
+
+// moveAll moves all that the app servers talk to, replaces their configuration files and sends SIGHUP to them.
+func moveAll(x *index, directory *door, fleet []*server) {
+	x.move()
+	directory.move()
+	for _, s := range fleet {
+		s.interpreter.move()
+		s.writeConfig()
+	}
+	for _, s := range fleet {
+		s.signal(syscall.SIGHUP)
+	}
+}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
@@ -13,6 +14,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -77,8 +79,11 @@
 	listen      string
 	platform    object
 	service     string // YAML; empty for none
-	descriptors int    // limit that the platform sets; 0 for none
+	isCold      bool
+	descriptors int // limit that the platform sets; 0 for none
 	interpreter *interpreter
+	index       *index
+	directory   *door
 	process     *exec.Cmd
 	exited      chan struct{}
 }
@@ -98,12 +103,11 @@
 }
 
 // newServer prepares an app server; start starts its process.
-func (r *rig) newServer(name string, settings object, indexAddress, directory string) *server {
-	s := &server{rig: r, name: name, listen: freeAddress()}
+func (r *rig) newServer(name string, settings object, x *index, directory *door) *server {
+	s := &server{rig: r, name: name, listen: freeAddress(), index: x, directory: directory}
 	s.interpreter = newInterpreter(name, settings["FamilyInfo"].(object)["Cores"].(int), r.log)
 	s.platform = object{
-		"name": name, "listen": s.listen, "vm": s.interpreter.address, "index": indexAddress, "lookup": directory,
-		"seed": "8c1f30d27a5be964", "stop_ms": 3200,
+		"name": name, "listen": s.listen, "seed": "8c1f30d27a5be964", "stop_ms": 3200,
 		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings,
 	}
 	return s
@@ -111,9 +115,7 @@
 
 // start starts the process with the command of the deploy file and waits until it takes requests.
 func (s *server) start() {
-	text, err := json.Marshal(s.platform)
-	check(err)
-	config := s.rig.write(s.name+".json", string(text))
+	config := s.writeConfig()
 	s.process = exec.Command("/bin/sh", "-c", s.runCommand())
 	s.process.Env = append(os.Environ(), "PROXY_NAME="+s.name, "PROXY_LISTEN="+s.listen, "PROXY_CONFIG="+config)
 	if s.service != "" {
@@ -140,9 +142,9 @@
 }
 
 // signal sends a signal to the process.
-func (s *server) signal(signal syscall.Signal) {
-	s.rig.log.add("%s gets %v", s.name, signal)
-	_ = s.process.Process.Signal(signal) // it may have ended
+func (s *server) signal(sent syscall.Signal) {
+	s.rig.log.add("%s gets %v", s.name, sent)
+	_ = s.process.Process.Signal(sent) // it may have ended
 }
 
 // kill kills the process and its interpreter, and waits for the end.
@@ -152,10 +154,23 @@
 	s.interpreter.kill()
 }
 
-// replaceInterpreter gives the next process of the server an interpreter of its own.
+// replaceInterpreter gives the next process of the server an interpreter of its own, which is cold.
 func (s *server) replaceInterpreter() {
-	s.interpreter = newInterpreter(s.name, s.interpreter.cores, s.rig.log)
-	s.platform["vm"] = s.interpreter.address
+	s.interpreter = newColdInterpreter(s.name, s.interpreter.cores, s.rig.log)
+	s.isCold = true
+}
+
+// writeConfig writes the platform's file, with the present addresses, and returns its path.
+func (s *server) writeConfig() string {
+	s.platform["vm"] = s.interpreter.address()
+	s.platform["index"] = s.index.address()
+	s.platform["lookup"] = s.directory.address()
+	text, err := json.Marshal(s.platform)
+	check(err)
+	if s.isCold {
+		text = bytes.Replace(text, []byte(`"Cold":false`), []byte(`"Cold":true`), 1)
+	}
+	return s.rig.write(s.name+".json", string(text))
 }
 
 // close ends all processes and removes the temporary folder.
@@ -256,11 +271,15 @@
 		return 2
 	}
 	r := &rig{folder: folder, temp: temp, trouble: os.Getenv("TROUBLE") != "0"}
-	time.AfterFunc(longestRun, func() {
-		fmt.Println("could not run: it takes too long")
+	giveUp := func(reason string) {
+		fmt.Println("could not run:", reason)
 		r.close()
 		os.Exit(2)
-	})
+	}
+	time.AfterFunc(longestRun, func() { giveUp("it takes too long") })
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { giveUp((<-ended).String()) }()
 	defer func() {
 		if failure := recover(); failure != nil {
 			fmt.Println("could not run:", failure)
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -26,7 +26,8 @@
 		"Categories": categories,
 		"FamilyInfo": object{"Callers": 3, "Cores": cores, "Downstream": "common", "CallShare": callShare,
 			"CallsOver": 5000, "EntryKb": 133, "Halt": "drop", "KeepaliveMax": 30000, "Linger": 200, "MemoryKb": 83664,
-			"RunFactor": 8, "Say": "min_rank", "Meters": []string{"core_use", "on_cores", "heap_share", "links"}},
+			"RunFactor": 8, "Say": "min_rank", "Cold": false,
+			"Meters": []string{"core_use", "on_cores", "heap_share", "links"}},
 		"Limits": object{"MaxRetryAfter": 1000, "RetryAfter": true}, "Period": 2, "Servers": servers,
 		"Tenants": []object{{"Name": "acme", "Share": 1}},
 		"Rules":   object{"Cold": 18000, "ColdFrom": 0.26, "DrainGrace": 2000, "TipMultiple": 8},
@@ -79,7 +80,7 @@
 // more, in front of the keyed one. Five keyed items ran before, longer than their callers waited; each comes again.
 func releaseWithAnotherCategory(r *rig) bool {
 	look, book := category("look", "repeatable"), category("book", "by_key")
-	s := r.newServer("n1", settings(1, 6, 5, look, book), newIndex(20*time.Millisecond).address, newDirectory())
+	s := r.newServer("n1", settings(1, 6, 5, look, book), newIndex(20*time.Millisecond), newDirectory())
 	s.service = r.storeSection()
 	s.start()
 	begin := time.Now()
@@ -109,7 +110,7 @@
 	book := category("book", "by_key")
 	book["Window"] = window.Milliseconds()
 	plan := settings(1, 6, 5, category("look", "repeatable"), book)
-	s := r.newServer("n1", plan, newIndex(20*time.Millisecond).address, newDirectory())
+	s := r.newServer("n1", plan, newIndex(20*time.Millisecond), newDirectory())
 	s.platform["limits"] = object{"cores": 1.0, "memory_mb": 64, "sockets": 384}
 	s.service = r.storeSection()
 	s.start()
