--- a/review/rig2/interpreter.go
+++ b/review/rig2/interpreter.go
@@ -13,8 +13,8 @@
 )
 
 // interpreter is a stand-in for the interpreter of one app server. It follows kit/real/PROTOCOL.md: notices are
-// numbered and kept, a new link replaces the one before, runs continue without a link, and a request runs at most once. The body
-// of a request states its work: "ms=200 calls=1 ...".
+// numbered and kept, a new link replaces the one before, runs continue without a link, and a request runs at most once.
+// The body of a request states its work: "ms=200 calls=1 ...".
 type interpreter struct {
 	address  string
 	listener net.Listener
--- a/review/rig2/peers.go
+++ b/review/rig2/peers.go
@@ -134,7 +134,8 @@
 func (x *index) logMeans(log *record, begin time.Time) {
 	for t := begin.Add(time.Second); t.Before(time.Now()); t = t.Add(time.Second) {
 		mean, _ := x.peakMean(time.Second, t, t.Add(time.Millisecond))
-		log.add("the index had %.2f calls in hand, in the mean of the second up to %.1f", mean, t.Sub(log.start).Seconds())
+		log.add("the index had %.2f calls in hand, in the mean of the second up to %.1f", mean,
+			t.Sub(log.start).Seconds())
 	}
 }
 
