--- a/internal/fastcgi/golden_test.go
+++ b/internal/fastcgi/golden_test.go
@@ -57,6 +57,8 @@
 	return make([]byte, 0, 512)
 }
 
+func (r *historyHandler) GrowBuffer(buffer []byte, _ int) []byte { return buffer }
+
 // unknownRoleContent is the content of a BEGIN_REQUEST record with a role other than Responder.
 const unknownRoleContent = "\x00\x02\x01\x00\x00\x00\x00\x00"
 
--- a/internal/fastcgi/parser.go
+++ b/internal/fastcgi/parser.go
@@ -24,10 +24,14 @@
 	// HasCapacity reports whether buffers are available for another request.
 	HasCapacity() bool
 
-	// AcquireBuffer returns an empty buffer. Its capacity limits the size of the parameters or the body stored in it.
+	// AcquireBuffer returns an empty buffer for the parameters or the body of a request.
 	AcquireBuffer() []byte
 
-	// ReleaseBuffer returns a buffer that AcquireBuffer handed out.
+	// GrowBuffer returns a buffer with the same content and a capacity of at least size bytes in place of the given
+	// one, or the given buffer unchanged if size exceeds the limit on parameters and bodies.
+	GrowBuffer(buffer []byte, size int) []byte
+
+	// ReleaseBuffer returns a buffer that AcquireBuffer or GrowBuffer handed out.
 	ReleaseBuffer(buffer []byte)
 }
 
@@ -62,8 +66,24 @@
 	return incomplete
 }
 
+// LargestIncomplete returns the open request that holds the most buffer memory of those that have not been received in
+// full, or nil if none of them holds any.
+func (p *Parser) LargestIncomplete() (largest *Request) {
+	largestBytes := 0
+	for _, request := range p.requests {
+		if held := request.bufferBytes(); request.isIncomplete() && held > largestBytes {
+			largest = request
+			largestBytes = held
+		}
+	}
+	return largest
+}
+
 func (r *Request) isIncomplete() bool { return r.state != stateComplete }
 
+// bufferBytes returns the size of the buffers that the request holds, in bytes.
+func (r *Request) bufferBytes() int { return cap(r.params) + cap(r.Body) }
+
 // Finish closes a request that has been answered, so that its ID may be used again, and releases the buffers that it
 // still holds.
 func (p *Parser) Finish(request *Request, handler Handler) {
@@ -231,24 +251,20 @@
 	return nil
 }
 
-// appendParams stores a part of the stream of parameters. It returns ErrInvalidLength if they exceed their buffer.
+// appendParams stores a part of the stream of parameters. It returns ErrInvalidLength if they become too long.
 func (r *Request) appendParams(data []byte, handler Handler) error {
-	if r.params == nil {
-		r.params = handler.AcquireBuffer()
-	}
-	if len(r.params)+len(data) > cap(r.params) {
+	r.params = reserve(r.params, len(data), handler)
+	if len(data) > cap(r.params)-len(r.params) {
 		return ErrInvalidLength
 	}
 	r.params = append(r.params, data...)
 	return nil
 }
 
-// appendBody stores a part of the body. If the body exceeds its buffer, it calls the handler at once and not only after
+// appendBody stores a part of the body. If the body becomes too long, it calls the handler at once and not only after
 // the last byte of the body.
 func (r *Request) appendBody(data []byte, handler Handler) {
-	if r.Body == nil {
-		r.Body = handler.AcquireBuffer()
-	}
+	r.Body = reserve(r.Body, len(data), handler)
 	if len(data) > cap(r.Body)-len(r.Body) {
 		handler.HandleBodyTooLong(r)
 		return
@@ -256,6 +272,18 @@
 	r.Body = append(r.Body, data...)
 }
 
+// reserve returns a buffer with the content of the given one, which may be nil, and room for more bytes after it, unless
+// that would exceed the handler's limit.
+func reserve(buffer []byte, more int, handler Handler) []byte {
+	if buffer == nil {
+		buffer = handler.AcquireBuffer()
+	}
+	if size := len(buffer) + more; size > cap(buffer) {
+		buffer = handler.GrowBuffer(buffer, size)
+	}
+	return buffer
+}
+
 // endRecord processes a record whose content is complete.
 func (p *Parser) endRecord(handler Handler) error {
 	if p.requestID() == 0 {
--- a/internal/fastcgi/parser_test.go
+++ b/internal/fastcgi/parser_test.go
@@ -41,6 +41,8 @@
 func (h *recordingHandler) AcquireBuffer() []byte        { return make([]byte, 0, 4096) }
 func (h *recordingHandler) ReleaseBuffer([]byte)         {}
 
+func (h *recordingHandler) GrowBuffer(buffer []byte, _ int) []byte { return buffer }
+
 // encodeRecord returns a FastCGI record with zeroed padding.
 func encodeRecord(recordType byte, id uint16, content string, padding int) []byte {
 	header := []byte{1, recordType, byte(id >> 8), byte(id), byte(len(content) >> 8), byte(len(content)),
--- a/internal/server/buffers.go
+++ b/internal/server/buffers.go
@@ -9,9 +9,10 @@
 	bufferSize     = 8 << 10
 	maxFreeBuffers = 256 // free buffers that are kept for reuse
 
-	// bufferMemoryDivisor sets the memory for buffers to 1/16 of the memory limit. The unread output of all routers
-	// together is limited to the same amount.
-	bufferMemoryDivisor = 16
+	// connectionMemoryDivisor and minConnectionMemory, in bytes, set the limit on the buffers of requests that are being
+	// received, and the limit on the unread output of all routers; see connectionMemory.
+	connectionMemoryDivisor = 16
+	minConnectionMemory     = 2 << 20
 
 	// maxUnreadPerRouter limits the output, in bytes, that one router may leave unread. It exceeds the size of the
 	// responses to all requests that a router can have open.
@@ -22,17 +23,16 @@
 	maxUnreadPerLink = 4 << 20
 )
 
-// bufferPool is a free list of buffers of bufferSize bytes.
+// connectionMemory returns the memory, in bytes, that router connections may use for one purpose in a process whose
+// memory limit is memoryBytes.
+func connectionMemory(memoryBytes int) int {
+	return max(minConnectionMemory, memoryBytes/connectionMemoryDivisor)
+}
+
+// bufferPool is a free list of buffers of bufferSize bytes, which hold the output of a batch.
 type bufferPool struct {
 	free  [][]byte
 	inUse int
-	limit int // number of buffers in use at which no further request is started
-}
-
-// setLimit sets the limit on buffers in use, which is a number of buffers. It is the number that fits into
-// 1/bufferMemoryDivisor of memoryBytes, the memory limit of the process in bytes, and at least maxFreeBuffers.
-func (p *bufferPool) setLimit(memoryBytes int) {
-	p.limit = max(maxFreeBuffers, memoryBytes/bufferMemoryDivisor/bufferSize)
 }
 
 // get returns an empty buffer from the pool, or a new one if the pool is empty.
@@ -144,7 +144,7 @@
 	totalUnread, toClose := s.unreadByRouters(written)
 	if unread > written.maxUnread {
 		toClose = written
-	} else if totalUnread <= s.buffers.limit*bufferSize {
+	} else if totalUnread <= connectionMemory(s.config.MemoryBytes) {
 		return
 	}
 	s.unreadClosed++
--- /dev/null
+++ b/internal/server/half_requests_socket_test.go
@@ -0,0 +1,115 @@
+package server_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"thistlequay/internal/emulator"
+	"thistlequay/internal/servertest"
+)
+
+// Record types of FastCGI.
+const (
+	beginRecord  = 1
+	paramsRecord = 4
+	bodyRecord   = 5
+)
+
+// halfRequest is the part of a request that a client sends before it stops.
+type halfRequest struct {
+	name        string
+	paramsBytes int // size of the parameters
+	bodyBytes   int // size of the part of the body that is sent; 0 if the parameters do not end
+}
+
+// records returns the records of a half request in the given slot.
+func (h halfRequest) records(slot uint16) []byte {
+	const path = "\x0b\x09SCRIPT_NAME/rpc/look"
+	records := emulator.FastCGIRecord(beginRecord, slot, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	params := path + strings.Repeat("\x01\x01xy", max(0, h.paramsBytes-len(path))/4) // very many short fields
+	records = append(records, emulator.FastCGIRecord(paramsRecord, slot, params)...)
+	if h.bodyBytes > 0 {
+		records = append(records, emulator.FastCGIRecord(paramsRecord, slot, "")...)
+		records = append(records, emulator.FastCGIRecord(bodyRecord, slot, strings.Repeat("b", h.bodyBytes))...)
+	}
+	return records
+}
+
+// halfRequests are the sizes of half requests that the tests play.
+var halfRequests = []halfRequest{
+	{"short parameters", 20, 0},
+	{"longest parameters", 8000, 0},
+	{"part of a body", 400, 1500},
+	{"longest of all", 8000, 8000},
+}
+
+// openHalfRequests opens a connection and half requests on it, in slots from 1, and waits until the program has read
+// them. The connection is no longer new then, as its health check in the slot after them was whole.
+func openHalfRequests(server *servertest.Server, half halfRequest, count int) *servertest.RouterLink {
+	router := server.ConnectRouter()
+	var records []byte
+	for slot := range uint16(count) {
+		records = append(records, half.records(slot+1)...)
+	}
+	router.WriteBytes(records)
+	healthSlot := uint16(count + 1)
+	router.Send(healthSlot, "/health", "", nil)
+	for {
+		slot, status, _, _ := router.NextResponse()
+		if slot == healthSlot {
+			server.Equal(200, status)
+			return router
+		}
+	}
+}
+
+// Guards against OVERLOADED, the promise that nothing ran, for a repeat of a keyed request that ran, while half
+// requests of other clients take up the memory for requests.
+func TestRepeatIsAnsweredWhileHalfRequestsFillMemory(t *testing.T) {
+	t.Parallel()
+	for _, size := range []struct{ memoryMB, connections int }{{32, 9}, {64, 40}, {192, 200}} {
+		for _, half := range halfRequests {
+			t.Run(fmt.Sprintf("%d MB %s", size.memoryMB, half.name), func(t *testing.T) {
+				t.Parallel()
+				limits := fmt.Sprintf(`"memory_mb":%d,"sockets":384`, size.memoryMB)
+				server, interpreter := servertest.StartWith(t, `"memory_mb":192,"sockets":64`, limits)
+				router := server.ConnectRouter()
+				for _, key := range []string{"k1", "k2", "k3"} {
+					id := interpreter.StartBook(router, 1, key)
+					interpreter.CompleteRun(router, 1, id, "ran "+key)
+				}
+				for range size.connections {
+					openHalfRequests(server, half, 31)
+				}
+				for _, key := range []string{"k1", "k2", "k3"} {
+					repeated := server.ConnectRouter()
+					repeated.SendBook(1, key)
+					repeated.ExpectResponse(1, 200, "ran "+key)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a client whose half requests are rejected, or cut off, because another client holds many.
+func TestHalfRequestsOfOneClientLeaveThoseOfOthersAlone(t *testing.T) {
+	t.Parallel()
+	for _, half := range halfRequests {
+		t.Run(half.name, func(t *testing.T) {
+			t.Parallel()
+			server, interpreter := servertest.StartWith(t, `"memory_mb":192,"sockets":64`, `"memory_mb":32,"sockets":384`)
+			slow := server.ConnectRouter()
+			slow.ExpectHealth(1, 200)
+			id := server.NewRequestID()
+			request := emulator.FastCGIRequest(1, "/rpc/look", strings.Repeat("b", 2000), servertest.RequestParameters(id))
+			slow.WriteBytes(request[:len(request)-100])
+			for range 40 {
+				openHalfRequests(server, half, 31)
+			}
+			slow.WriteBytes(request[len(request)-100:])
+			interpreter.ExpectApply(id, strings.Repeat("b", 2000))
+			interpreter.CompleteRun(slow, 1, id, "whole")
+		})
+	}
+}
--- a/internal/server/routerconnection.go
+++ b/internal/server/routerconnection.go
@@ -40,6 +40,8 @@
 	tableElement *list.Element  // in routerTable.connections
 	stateElement *list.Element  // in routerTable.newConnections or idleConnections
 
+	requestBytes int // size of the buffers of requests that are being received
+
 	requestTimer  timer
 	wasIncomplete bool // a request was incomplete when requestTimer last fired, and none has been completed since
 
@@ -133,6 +135,7 @@
 		return err
 	}
 	c.updateState()
+	c.server.routers.releaseRequestMemory()
 	if c.state != connectionNew && !c.requestTimer.isSet() && c.parser.HasIncomplete() {
 		c.server.setTimer(&c.requestTimer, c.server.now+requestReadTimeout)
 	}
--- a/internal/server/routerrequests.go
+++ b/internal/server/routerrequests.go
@@ -8,16 +8,32 @@
 const healthPath = "/health"
 
 // AcquireBuffer implements fastcgi.Handler.
-func (c *routerConnection) AcquireBuffer() []byte { return c.server.buffers.get() }
+func (c *routerConnection) AcquireBuffer() []byte {
+	buffer := c.server.requestBuffers.get(minRequestBufferBytes)
+	c.requestBytes += cap(buffer)
+	return buffer
+}
+
+// GrowBuffer implements fastcgi.Handler.
+func (c *routerConnection) GrowBuffer(buffer []byte, size int) []byte {
+	grown := c.server.requestBuffers.grow(buffer, size)
+	c.requestBytes += cap(grown) - cap(buffer)
+	return grown
+}
 
 // ReleaseBuffer implements fastcgi.Handler.
-func (c *routerConnection) ReleaseBuffer(buffer []byte) { c.server.buffers.put(buffer) }
+func (c *routerConnection) ReleaseBuffer(buffer []byte) {
+	c.requestBytes -= cap(buffer)
+	c.server.requestBuffers.put(buffer)
+}
 
 // Send implements fastcgi.Handler: it sends records with which the parser itself responds.
 func (c *routerConnection) Send(records []byte) { c.output = append(c.buffer(), records...) }
 
-// HasCapacity implements fastcgi.Handler: it reports whether the parser may start another request.
-func (c *routerConnection) HasCapacity() bool { return c.server.buffers.inUse < c.server.buffers.limit }
+// HasCapacity implements fastcgi.Handler. There is always room for another request: whether it repeats one that ran, so
+// that it must not be rejected, is known only once it is complete. Incomplete requests make room for it; see
+// routerTable.releaseRequestMemory.
+func (c *routerConnection) HasCapacity() bool { return true }
 
 // HandleRequest implements fastcgi.Handler: it handles a complete request.
 func (c *routerConnection) HandleRequest(stream *fastcgi.Request) {
--- a/internal/server/routertable.go
+++ b/internal/server/routertable.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"strconv"
 
+	"thistlequay/internal/fastcgi"
 	"thistlequay/timeunit"
 )
 
@@ -35,6 +36,8 @@
 	rejected   int // number of connections rejected because the table was full
 	evicted    int // number of connections closed to make room
 	incomplete int // number of connections closed because no complete request arrived in time
+
+	memoryRejected int // number of incomplete requests rejected because the memory for them was full
 }
 
 func (t *routerTable) init(server *Server) {
@@ -97,6 +100,41 @@
 	return nil
 }
 
+// releaseRequestMemory rejects incomplete requests until the buffers of requests are within their limit: the largest
+// one of the connection whose requests hold the most memory, and so on. A connection that holds less than its part of
+// the memory is thus never affected by others. An incomplete request may repeat one that ran, so its response does not
+// promise that it did not.
+func (t *routerTable) releaseRequestMemory() {
+	for t.server.requestBuffers.isOverLimit() {
+		connection, request := t.largestIncomplete()
+		if request == nil {
+			return
+		}
+		if countAndSample(&t.memoryRejected) {
+			t.server.log.Event("request_memory_full").Int("connections", t.openCount).
+				Int("rejected", t.memoryRejected).Send()
+		}
+		connection.respond(request, statusRequestTimeout, "", nil)
+	}
+}
+
+// largestIncomplete returns the connection with an incomplete request whose requests hold the most buffer memory, the
+// oldest one if there are several, and its largest incomplete request. Both are nil if there is none.
+func (t *routerTable) largestIncomplete() (connection *routerConnection, request *fastcgi.Request) {
+	largestBytes := 0
+	for element := t.connections.Front(); element != nil; element = element.Next() {
+		candidate := element.Value.(*routerConnection)
+		if candidate.requestBytes <= largestBytes {
+			continue
+		}
+		if incomplete := candidate.parser.LargestIncomplete(); incomplete != nil {
+			connection, request = candidate, incomplete
+			largestBytes = candidate.requestBytes
+		}
+	}
+	return connection, request
+}
+
 // closeIdle closes connections that have been idle for idleTimeout, and sets the timer for the next one.
 func (t *routerTable) closeIdle() {
 	for {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -76,6 +76,8 @@
 	unreadConnections map[*outputBuffer]struct{} // connections whose peer has not read all output
 	buffers           bufferPool
 
+	requestBuffers requestBuffers
+
 	admission   *admission.Server // nil until the interpreter is up
 	requests    requestTable
 	routers     routerTable
@@ -125,10 +127,10 @@
 		unreadConnections:   map[*outputBuffer]struct{}{},
 		shutdownDeadline:    noDeadline,
 	}
-	server.buffers.setLimit(config.MemoryBytes)
 	server.fairQueue.init(server)
 	server.index.init(server)
 	server.routers.init(server)
+	server.requestBuffers.setLimit(config.MemoryBytes, server.routers.maxConnections)
 	server.requests.init(server)
 	server.interpreter.init(server)
 	server.directory.init(server)
