Connections that carry only half requests make room for new ones

Callers saw: clients with one whole request answered and half of the next one open took all places of the table, and every further connection was closed unanswered.

Cause: such a connection counted as active, and only new and idle ones were evicted.

Change: the table lists the connections on which all that is open is incomplete and evicts them too, after new and idle ones, or before idle ones once they are more than a quarter of the table.

--- a/internal/fastcgi/parser.go
+++ b/internal/fastcgi/parser.go
@@ -66,6 +66,11 @@
 	return incomplete
 }
 
+// HasComplete reports whether an open request has been received in full.
+func (p *Parser) HasComplete() bool {
+	return slices.ContainsFunc(p.requests, func(request *Request) bool { return !request.isIncomplete() })
+}
+
 // LargestIncomplete returns the open request that holds the most buffer memory of those that have not been received in
 // full, or nil if none of them holds any.
 func (p *Parser) LargestIncomplete() (largest *Request) {
--- a/internal/server/half_requests_socket_test.go
+++ b/internal/server/half_requests_socket_test.go
@@ -113,3 +113,31 @@
 		})
 	}
 }
+
+// Guards against new connections that are closed unanswered because connections with half requests fill the table.
+func TestHalfRequestsDoNotKeepNewConnectionsOut(t *testing.T) {
+	t.Parallel()
+	for _, sockets := range []int{60, 90, 384} {
+		t.Run(fmt.Sprint(sockets), func(t *testing.T) {
+			t.Parallel()
+			server, interpreter := servertest.StartWith(t, `"sockets":64`, fmt.Sprintf(`"sockets":%d`, sockets))
+			router := server.ConnectRouter()
+			id := interpreter.StartBook(router, 1, "k")
+			interpreter.CompleteRun(router, 1, id, "ran")
+			busy := interpreter.StartLook(router, 1, "runs all the time")
+			var maxConnections int
+			_, text, _ := strings.Cut(server.LogText(), "connections=")
+			_, err := fmt.Sscan(text, &maxConnections)
+			server.NoError(err)
+			for range maxConnections - 1 {
+				openHalfRequests(server, halfRequests[0], 1)
+			}
+			for range 5 {
+				repeated := server.ConnectRouter()
+				repeated.SendBook(1, "k")
+				repeated.ExpectResponse(1, 200, "ran")
+			}
+			interpreter.CompleteRun(router, 1, busy, "of a connection that carries a request")
+		})
+	}
+}
--- a/internal/server/routerconnection.go
+++ b/internal/server/routerconnection.go
@@ -40,7 +40,10 @@
 	tableElement *list.Element  // in routerTable.connections
 	stateElement *list.Element  // in routerTable.newConnections or idleConnections
 
-	requestBytes int // size of the buffers of requests that are being received
+	isReading        bool           // the parser is being fed
+	requestBytes     int            // size of the buffers of requests that are being received
+	receivingSince   timeunit.Ticks // when it began to carry incomplete requests only
+	receivingElement *list.Element  // in routerTable.receivingConnections
 
 	requestTimer  timer
 	wasIncomplete bool // a request was incomplete when requestTimer last fired, and none has been completed since
@@ -77,6 +80,7 @@
 // updateState makes an active connection idle, or ending once the server is closing connections, if it carries nothing.
 // It closes an ending connection on which no request is open.
 func (c *routerConnection) updateState() {
+	c.updateReceiving()
 	switch {
 	case c.conn == nil:
 	case c.state == connectionEnding && c.parser.OpenRequests() == 0:
@@ -90,6 +94,25 @@
 	}
 }
 
+// updateReceiving keeps track of whether all that the connection carries is incomplete, although it has sent a complete
+// request before. The router table may then evict it. While the parser is being fed, more of a request may follow.
+func (c *routerConnection) updateReceiving() {
+	if c.isReading {
+		return
+	}
+	table := &c.server.routers
+	mayServe := c.state == connectionActive || c.state == connectionEnding
+	isReceiving := mayServe && c.parser.HasIncomplete() && !c.parser.HasComplete()
+	switch {
+	case isReceiving && c.receivingElement == nil:
+		c.receivingSince = c.server.now
+		c.receivingElement = table.receivingConnections.PushBack(c)
+	case !isReceiving && c.receivingElement != nil:
+		table.receivingConnections.Remove(c.receivingElement)
+		c.receivingElement = nil
+	}
+}
+
 // endForShutdown closes the connection once no request is open. The router does not know of the close, so the requests
 // that it has sent by then are read and answered first.
 func (c *routerConnection) endForShutdown() {
@@ -131,7 +154,10 @@
 	if c.state == connectionIdle {
 		c.setState(connectionActive)
 	}
-	if err := c.parser.Feed(data, c); err != nil {
+	c.isReading = true
+	err := c.parser.Feed(data, c)
+	c.isReading = false
+	if err != nil {
 		return err
 	}
 	c.updateState()
@@ -168,6 +194,7 @@
 
 func (c *routerConnection) closed() {
 	c.setState(connectionClosed)
+	c.updateReceiving()
 	c.server.stopTimer(&c.requestTimer)
 	c.conn = nil
 	c.server.routers.openCount--
--- a/internal/server/routertable.go
+++ b/internal/server/routertable.go
@@ -13,22 +13,23 @@
 	// way.
 	newConnectionGrace = second / 10
 
-	// newConnectionDivisor suspends that protection while connections that have not sent a complete request take up
+	// incompleteShareDivisor suspends that protection while connections that have not sent a complete request take up
 	// more than 1/4 of the table.
-	newConnectionDivisor = 4
+	incompleteShareDivisor = 4
 )
 
 // routerTable holds the connections of routers and of any other client that connects. To make room, it must not close a
 // connection with a complete request on it. It does not look into requests.
 type routerTable struct {
-	server          *Server
-	openCount       int
-	maxConnections  int
-	connections     *list.List // of *routerConnection
-	newConnections  *list.List // connections in connectionNew, oldest first
-	idleConnections *list.List // connections in connectionIdle, longest idle first
-	idleTimeout     timeunit.Ticks
-	idleTimer       timer
+	server               *Server
+	openCount            int
+	maxConnections       int
+	connections          *list.List // of *routerConnection
+	newConnections       *list.List // connections in connectionNew, oldest first
+	idleConnections      *list.List // connections in connectionIdle, longest idle first
+	receivingConnections *list.List // connections that carry incomplete requests only, in that state for longest first
+	idleTimeout          timeunit.Ticks
+	idleTimer            timer
 
 	admissionHealthy bool   // health that admission reported
 	loadReportHeader string // sent with every response; empty until admission reports a value
@@ -45,6 +46,7 @@
 	t.connections = list.New()
 	t.newConnections = list.New()
 	t.idleConnections = list.New()
+	t.receivingConnections = list.New()
 	t.idleTimeout = noDeadline
 	t.admissionHealthy = true
 	server.closing.reservedDescriptors = max(1, server.config.MaxSockets/lingerDescriptorDivisor)
@@ -80,24 +82,41 @@
 	return true
 }
 
-// evictionCandidate returns the connection to evict, or nil if all connections carry requests. It prefers the oldest
-// connection that has not sent a complete request, unless newConnectionGrace protects it, and otherwise returns the
-// connection that has been idle longest.
+// evictionCandidate returns the connection to evict, or nil if all connections carry complete requests. It prefers the
+// oldest connection that has not sent a complete request, unless newConnectionGrace protects it, and otherwise returns
+// the connection that has been idle longest. One that carries incomplete requests only follows after that, or comes
+// before it if there are many of them.
 func (t *routerTable) evictionCandidate() *routerConnection {
-	oldestNew := t.newConnections.Front()
-	longestIdle := t.idleConnections.Front()
-	if oldestNew != nil {
-		candidate := oldestNew.Value.(*routerConnection)
-		tooManyNew := t.newConnections.Len() > t.maxConnections/newConnectionDivisor
-		isPastGrace := t.server.now-candidate.stateSince > newConnectionGrace
-		if longestIdle == nil || tooManyNew || isPastGrace {
-			return candidate
-		}
+	oldestNew := frontConnection(t.newConnections)
+	longestIdle := frontConnection(t.idleConnections)
+	longestReceiving := frontConnection(t.receivingConnections)
+	isAlone := longestIdle == nil && longestReceiving == nil
+	if oldestNew != nil && (isAlone || t.isLarge(t.newConnections) || t.isPastGrace(oldestNew.stateSince)) {
+		return oldestNew
+	}
+	if longestIdle == nil || t.isLarge(t.receivingConnections) && t.isPastGrace(longestReceiving.receivingSince) {
+		return longestReceiving
 	}
-	if longestIdle != nil {
-		return longestIdle.Value.(*routerConnection)
+	return longestIdle
+}
+
+// frontConnection returns the first connection of a list, or nil if the list is empty.
+func frontConnection(connections *list.List) *routerConnection {
+	front := connections.Front()
+	if front == nil {
+		return nil
 	}
-	return nil
+	return front.Value.(*routerConnection)
+}
+
+// isLarge reports whether a list of connections that carry no complete request takes up much of the table.
+func (t *routerTable) isLarge(connections *list.List) bool {
+	return connections.Len() > t.maxConnections/incompleteShareDivisor
+}
+
+// isPastGrace reports whether newConnectionGrace has passed since the given time.
+func (t *routerTable) isPastGrace(since timeunit.Ticks) bool {
+	return t.server.now-since > newConnectionGrace
 }
 
 // releaseRequestMemory rejects incomplete requests until the buffers of requests are within their limit: the largest
