--- a/admission/idempotency.go
+++ b/admission/idempotency.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// SetMaxEntries replaces Config.MaxEntries; 0 means that only MemoryKB limits the number of entries.
+func (s *Server) SetMaxEntries(count int) { s.entries.maxCount = cmp.Or(count, math.MaxInt) }
+
 // hasRoomForEntry reports whether there is room for another entry.
 func (s *Server) hasRoomForEntry() bool {
 	return s.memory.hasRoomFor(s.entries.sizeKB) && s.entries.count < s.entries.maxCount
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -36,13 +36,6 @@
 	}
 }
 
-// Outcomes that are restored from earlier incarnations may occupy at most 1/restoredMemoryDivisor of the program's
-// memory, with an estimate of at most maxRestoredEntryBytes for each.
-const (
-	restoredMemoryDivisor = 8
-	maxRestoredEntryBytes = 5 << 10
-)
-
 // LogConfig returns the configuration of the log for a program whose memory limit is memoryBytes.
 func (s *Store) LogConfig(platform *deployment.Config, memoryBytes int) segmentlog.Config {
 	config := segmentlog.Config{
@@ -51,7 +44,7 @@
 		MaxRecords:       s.MaxRecords,
 		SegmentBytes:     int64(s.SegmentKB) << 10,
 		ClockUncertainty: timeunit.TicksOf(s.ClockUncertainty),
-		MaxOutcomes:      max(1, memoryBytes/restoredMemoryDivisor/maxRestoredEntryBytes),
+		MaxOutcomes:      deployment.MaxIdempotencyEntries(memoryBytes),
 		AllowEmpty:       s.StartFresh,
 		Now:              segmentlog.MachineClock,
 	}
--- a/internal/daemon/platform_config.go
+++ b/internal/daemon/platform_config.go
@@ -131,6 +131,11 @@
 	return int(limit.Cur)
 }
 
+// applyMemoryLimit sets the soft memory limit of the Go runtime from the memory limit of the process.
+func applyMemoryLimit(serverConfig server.Config) {
+	debug.SetMemoryLimit(int64(math.Round(float64(serverConfig.MemoryBytes) * softMemoryFraction)))
+}
+
 // applyProcessLimits sets the number of threads and the soft memory limit of the Go runtime from the limits of the
 // process.
 func applyProcessLimits(serverConfig server.Config) {
@@ -139,5 +144,5 @@
 		threads++
 	}
 	runtime.GOMAXPROCS(threads)
-	debug.SetMemoryLimit(int64(math.Round(float64(serverConfig.MemoryBytes) * softMemoryFraction)))
+	applyMemoryLimit(serverConfig)
 }
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -58,6 +58,7 @@
 			(*deliver)(results)
 		}
 	}
+	applyMemoryLimit(serverConfig) // reading the log takes up much of the memory
 	opened, err := segmentlog.Open(files, logConfig)
 	if err != nil {
 		return nil, fmt.Errorf("open the store in %s: %w", path, err)
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -8,12 +8,6 @@
 	"thistlequay/timeunit"
 )
 
-const (
-	maxResultBytes           = 4 << 10
-	idempotencyMemoryDivisor = 3                     // one third of the memory is for entries
-	maxIdempotencyEntryBytes = maxResultBytes + 1024 // upper bound on the memory of one entry
-)
-
 // idempotencyEntry is the state shared by all attempts with the same idempotency key. At most one attempt runs, and the
 // others are answered with its result.
 type idempotencyEntry struct {
@@ -23,6 +17,7 @@
 	owner      *request // the attempt that is queued or runs; nil after its release
 	hasStarted bool     // an attempt was started
 	hasEnded   bool     // its run is over
+	isRestored bool     // an earlier process ran it
 	succeeded  bool     // its run succeeded, with this result
 	result     []byte   // as received from the interpreter
 
@@ -96,6 +91,9 @@
 func (t *requestTable) removeEntry(entry *idempotencyEntry) {
 	if t.entries[entry.key] == entry {
 		delete(t.entries, entry.key)
+		if entry.isRestored {
+			t.server.recovery.releaseRestoredEntry()
+		}
 	}
 	t.server.stopTimer(&entry.expiryTimer)
 	t.releaseSharers(entry)
--- a/internal/server/interpreternotices.go
+++ b/internal/server/interpreternotices.go
@@ -165,8 +165,7 @@
 	config.TurnOffset = s.random.Float64()
 	// Idempotency entries and results are held in this process's memory; the settings mean the interpreter's.
 	config.EntryKB = 0
-	maxEntries := s.config.MemoryBytes / idempotencyMemoryDivisor / maxIdempotencyEntryBytes
-	config.MaxEntries = max(1, maxEntries-s.recovery.restoredEntries())
+	config.MaxEntries = s.recovery.roomForEntries()
 	config.WarmStart = s.recovery.loadWarmStart()
 	s.admission = admission.New(config, &s.requests, s.now-uptime)
 	s.admission.Advance(s.now)
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/xxh3"
 
 	"thistlequay/admission"
+	"thistlequay/internal/deployment"
 	"thistlequay/internal/recovery"
 	"thistlequay/internal/segmentlog"
 	"thistlequay/timeunit"
@@ -43,6 +44,7 @@
 	lastAttempt        uint64
 	isClosing          bool
 	rejectUnknownUntil timeunit.Ticks // until then, keyed requests without an entry are rejected
+	restoredEntries    int            // restored entries that are still in the idempotency table
 
 	// Counts of rejected requests, by reason.
 	rejectedFull    int // no room in the log
@@ -86,21 +88,28 @@
 		bodyHash:   outcome.BodyHash,
 		hasStarted: true,
 		hasEnded:   true,
+		isRestored: true,
 		succeeded:  outcome.Completed && outcome.Succeeded,
 		result:     outcome.Result,
 		matchUntil: outcome.WindowEnd,
 	}
 	entry.expiryTimer.fire = func() { p.server.requests.removeEntry(entry) }
 	p.server.requests.entries[outcome.Key] = entry
+	p.restoredEntries++
 	p.server.setTimer(&entry.expiryTimer, entry.matchUntil+maxUnreadDelay)
 }
 
-// restoredEntries returns the number of entries restored from the log.
-func (p *recoverySubsystem) restoredEntries() int {
-	if p.log == nil {
-		return 0
+// roomForEntries returns the number of idempotency entries that this process may add to the restored ones.
+func (p *recoverySubsystem) roomForEntries() int {
+	return max(1, deployment.MaxIdempotencyEntries(p.server.config.MemoryBytes)-p.restoredEntries)
+}
+
+// releaseRestoredEntry gives the room of a restored entry that was removed to admission.
+func (p *recoverySubsystem) releaseRestoredEntry() {
+	p.restoredEntries--
+	if p.server.admission != nil {
+		p.server.admission.SetMaxEntries(p.roomForEntries())
 	}
-	return len(p.log.Outcomes)
 }
 
 // deferForIntent writes the intent record of a request with an idempotency key, or rejects the request if that is not
--- a/internal/server/recovery_test.go
+++ b/internal/server/recovery_test.go
@@ -161,3 +161,18 @@
 	require.Contains(t, string(test.router.output), "503 Declined")
 	require.Nil(t, test.server.requests.byID[lateID])
 }
+
+// Guards against a process that has room for few keyed requests for good, because the room of restored entries that have
+// expired is not used again.
+func TestExpiredRestoredEntriesMakeRoom(t *testing.T) {
+	server := newIdleServer(t, testSettings)
+	room := server.recovery.roomForEntries()
+	window := server.now + second
+	for _, key := range []string{"0 a", "0 b", "0 c"} {
+		server.recovery.restoreEntry(&recovery.Outcome{Key: key, WindowEnd: window, Completed: true}, second)
+	}
+	require.Equal(t, room-3, server.recovery.roomForEntries())
+	passTime(server, 2*second)
+	require.Empty(t, server.requests.entries)
+	require.Equal(t, room, server.recovery.roomForEntries())
+}
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"thistlequay/admission"
+	"thistlequay/internal/deployment"
 	"thistlequay/internal/fairqueue"
 	"thistlequay/internal/fastcgi"
 	"thistlequay/internal/plugin/chain"
@@ -161,11 +162,11 @@
 }
 
 // recordOutcome stores the outcome of the run in its idempotency entry and concludes its intent in the recovery log. A
-// result longer than maxResultBytes is not stored; repeats of the request are then answered as failed.
+// result longer than deployment.MaxResultBytes is not stored; repeats of the request are then answered as failed.
 func (r *request) recordOutcome(outcome admission.Outcome, result []byte) {
 	entry := r.entry
 	entry.hasEnded = true
-	entry.succeeded = outcome == admission.Succeeded && len(result) <= maxResultBytes
+	entry.succeeded = outcome == admission.Succeeded && len(result) <= deployment.MaxResultBytes
 	if entry.succeeded {
 		entry.result = result
 	}
--- a/internal/server/store_socket_test.go
+++ b/internal/server/store_socket_test.go
@@ -294,3 +294,30 @@
 		keyedP50-withoutStore.keyed.ValueAtQuantile(50),
 		idempotentP50/float64(withoutStore.idempotent.ValueAtQuantile(50)))
 }
+
+// Guards against a rejection, the promise that nothing ran, of repeats whose results are in the store but were not
+// restored, because the process before kept more results than a restart did.
+func TestRestartRestoresEveryResultThatWasKept(t *testing.T) {
+	for _, size := range []struct{ memoryMB, keys int }{{16, 700}, {32, 1500}} {
+		t.Run(fmt.Sprintf("%d MB", size.memoryMB), func(t *testing.T) {
+			server := servertest.New(t)
+			server.Service = servertest.StoreSection(filepath.Join(t.TempDir(), "store"), "  durability: process\n")
+			server.ReplaceConfig(`"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, size.memoryMB))
+			config := server.Config
+			server.StartWithInterpreter(t, config)
+			router := server.ConnectRouter()
+			for i := range size.keys {
+				router.SendTimedBook(1, fmt.Sprint("key-", i))
+				router.ExpectResponse(1, 200, fmt.Sprint("result of 1 entry key-", i))
+			}
+			server.Kill()
+
+			server.StartWithInterpreter(t, config)
+			router = server.ConnectRouter()
+			for i := range 5 {
+				router.SendTimedBook(1, fmt.Sprint("key-", i))
+				router.ExpectResponse(1, 200, fmt.Sprint("result of 1 entry key-", i))
+			}
+		})
+	}
+}
