A repeat that waits for the disk gets the result of a run in the meantime

Callers saw: with a store, an attempt whose intent waits for a stalled or failing disk was answered 503, the promise that nothing ran, also when another attempt of its key had run.

Cause: onIntentTimeout and onIntentWritten did not look at the idempotency table again.

Change: they do, and answer with the result, or with a failure if there is none.

--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -179,11 +179,24 @@
 	return max(p.server.now, deadline-responseMargin)
 }
 
-// onIntentTimeout rejects a request whose intent did not become durable in time. Once the intent is durable, a
-// cancellation record is written for it.
+// onIntentTimeout answers a request whose intent did not become durable in time: with the result of another attempt
+// that ran in the meantime, otherwise with a rejection. Once the intent is durable, a cancellation record is written for
+// it.
 func (p *recoverySubsystem) onIntentTimeout(req *request) {
-	p.logRejection(&p.rejectedLate, "late")
-	req.respond(statusRejected, "", nil)
+	entry := p.server.requests.findEntry(req)
+	switch {
+	case entry == nil || !entry.hasStarted:
+		p.logRejection(&p.rejectedLate, "late")
+		req.respond(statusRejected, "", nil)
+	case entry.bodyHash != sha256.Sum256(req.body):
+		req.respond(errKeyReused.status, "", nil)
+	case !entry.hasEnded:
+		req.respond(statusAborted, "", nil)
+	case entry.succeeded:
+		req.respond(statusOK, "", entry.result)
+	default:
+		req.respond(statusSharedRunFailed, "", nil)
+	}
 }
 
 // drain makes sure that requests that wait for the disk are answered before the shutdown ends, and saves the warm-start
@@ -229,16 +242,18 @@
 }
 
 // onIntentWritten hands a request to admission when its intent is durable. It drops a request that no router waits for
-// any more, and rejects one whose intent could not be written.
+// any more, and rejects one whose intent could not be written, unless another attempt has run in the meantime.
 func (p *recoverySubsystem) onIntentWritten(req *request, err error) {
 	hasRouter := req.router != nil
 	if err != nil {
 		req.intentWindowEnd = 0 // there is no record to conclude
 	}
+	entry := p.server.requests.findEntry(req)
+	hasRun := entry != nil && entry.hasStarted
 	switch {
-	case err != nil && hasRouter:
+	case err != nil && hasRouter && !hasRun:
 		p.reject(req, &p.rejectedFailed, err.Error(), p.server.config.Settings.MaxRetryAfter)
-	case err != nil:
+	case err != nil && !hasRouter:
 		p.server.requests.remove(req)
 	case !hasRouter:
 		p.concludeIntent(req, recovery.KindCancellation, false, nil)
--- a/internal/server/recovery_test.go
+++ b/internal/server/recovery_test.go
@@ -129,6 +129,46 @@
 	require.Nil(t, test.server.requests.byID[intendedID])
 }
 
+// repeatBeforeRun sends another attempt of the request while the first one, whose intent is durable, is queued. The
+// first one then runs and succeeds, while the intent of the other still waits for the disk.
+func (d *diskTest) repeatBeforeRun() (repeat *request) {
+	d.Helper()
+	const repeatID = "00000000000000cc"
+	d.sync(nil)
+	d.router = connectRouter(d.server) // the repeat comes from another router
+	again := strings.Replace(wholeRequest, firstID, repeatID, 1)
+	feed(d.T, d.router, strings.Replace(again, "HTTP_ONCE_KEYk", "HTTP_ONCE_KEYl", 1))
+	d.server.admission.Dispatch()
+	require.Contains(d, d.commands(), runCommand)
+	notify(d.T, d.server, `{"type":"VALUE","n":2,"job":%q,"state":"OK","took":1,"data":"cg=="}`, intendedID)
+	takeOutput(&d.router.outputBuffer)
+	require.Len(d, d.server.recovery.pending, 1)
+	return d.server.requests.byID[repeatID]
+}
+
+// Guards against a rejection, the promise that nothing ran, of a repeat that waits for a stalled disk while another
+// attempt runs.
+func TestRepeatThatWaitsForDiskGetsTheResult(t *testing.T) {
+	test := newDiskTest(t)
+	repeat := test.repeatBeforeRun()
+	test.server.recovery.onIntentTimeout(repeat)
+	require.Contains(t, string(test.router.output), "200 OK")
+	for len(test.server.recovery.pending) > 0 {
+		test.sync(nil)
+	}
+	require.Nil(t, test.server.requests.byID[repeat.id])
+}
+
+// Guards against such a rejection when the disk fails.
+func TestRepeatWhoseIntentCannotBeWrittenGetsTheResult(t *testing.T) {
+	test := newDiskTest(t)
+	repeat := test.repeatBeforeRun()
+	test.sync(errors.New("input/output error"))
+	test.server.requests.processDeferredWork()
+	require.Contains(t, string(test.router.output), "200 OK")
+	require.Nil(t, test.server.requests.byID[repeat.id])
+}
+
 // The exit of a process waits for a sync that is in progress, for as long as a slow disk takes. From the shutdown
 // notice on, neither the warm-start state nor completions nor the end of the log may therefore be synced.
 func TestShutdownDoesNotWaitForTheDisk(t *testing.T) {
