A repeat of a run that has ended gets its result also when memory is full

Callers saw: with the settings' memory over 95% in use, a repeat of a keyed request whose result was at hand was answered 500.

Cause: shareOrReplace failed every repeat for want of memory to wait in.

Change: only one that must wait is failed.

Measured: the scenario ended-repeats gives "abort" on the old text and "share" now.

--- a/admission/idempotency.go
+++ b/admission/idempotency.go
@@ -66,7 +66,8 @@
 		}
 	}
 	s.timers.set(request, request.deadline)
-	if s.memory.isNearlyFull() { // no memory to keep it waiting
+	mustWait := earlier != nil && earlier.state != stateFinished
+	if mustWait && s.memory.isNearlyFull() { // no memory to keep it waiting
 		s.abort(request)
 	} else {
 		s.host.ShareResult(request)
