--- a/internal/gossip/status_http.go
+++ b/internal/gossip/status_http.go
@@ -38,7 +38,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	// Close does not wait for these goroutines: they use nothing that Close releases, and end soon after it.
-	go func() { _ = server.Serve(listener) }() // always returns an error, normally http.ErrServerClosed
+	limited := &limitedListener{Listener: listener, limit: connectionLimit{max: maxStatusConnections}}
+	go func() { _ = server.Serve(limited) }() // always returns an error, normally http.ErrServerClosed
 	go func() {
 		<-n.done
 		_ = server.Close() // status connections need no graceful shutdown
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -10,12 +10,17 @@
 	"github.com/hashicorp/memberlist"
 )
 
-// countingTransport is memberlist's NetTransport with two differences: outgoing connections have the IP address on
-// which the transport listens as their source, with a port that the system chooses, and sent bytes are counted.
+// countingTransport is memberlist's NetTransport with three differences: outgoing connections have the IP address on
+// which the transport listens as their source, with a port that the system chooses, sent bytes are counted, and the
+// number of incoming connections is limited.
 type countingTransport struct {
 	*memberlist.NetTransport
 	localIP   net.IP
 	sentBytes *atomic.Int64
+
+	incoming chan net.Conn // the connections of NetTransport, counted
+	limit    connectionLimit
+	closed   chan struct{}
 }
 
 // newTransport returns a transport that listens on an address for packets and streams, and counts the bytes that it
@@ -29,7 +34,47 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingTransport{NetTransport: transport, localIP: net.ParseIP(host), sentBytes: sentBytes}, nil
+	counting := &countingTransport{
+		NetTransport: transport,
+		localIP:      net.ParseIP(host),
+		sentBytes:    sentBytes,
+		incoming:     make(chan net.Conn),
+		limit:        connectionLimit{max: maxIncomingStreams},
+		closed:       make(chan struct{}),
+	}
+	go counting.limitIncoming()
+	return counting, nil
+}
+
+// limitIncoming passes incoming connections on until Shutdown.
+func (t *countingTransport) limitIncoming() {
+	for {
+		select {
+		case accepted := <-t.NetTransport.StreamCh():
+			t.passOn(t.limit.add(accepted))
+		case <-t.closed:
+			return
+		}
+	}
+}
+
+// passOn passes a connection to memberlist, or closes it after Shutdown.
+func (t *countingTransport) passOn(connection net.Conn) {
+	select {
+	case t.incoming <- connection:
+	case <-t.closed:
+		_ = connection.Close() // nobody uses it
+	}
+}
+
+// StreamCh implements memberlist.Transport.
+func (t *countingTransport) StreamCh() <-chan net.Conn { return t.incoming }
+
+// Shutdown implements memberlist.Transport. Memberlist calls it once.
+func (t *countingTransport) Shutdown() error {
+	err := t.NetTransport.Shutdown() // incoming connections are passed on until the listener is closed
+	close(t.closed)
+	return err
 }
 
 // WriteTo implements memberlist.Transport.
--- a/internal/server/connection_socket_test.go
+++ b/internal/server/connection_socket_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -283,3 +285,35 @@
 	server.Less(reregistered, 3*time.Second) // a registration expires after 3 s; the measured time is printed above
 	server.NotContains(server.LogText(), "engine_error")
 }
+
+// Guards against an exit of the process for want of descriptors, which silent connections to the addresses of the
+// section peers took, while the router table is full too.
+func TestSilentConnectionsToPeersLeaveDescriptors(t *testing.T) {
+	t.Parallel()
+	server := servertest.New(t)
+	gossip, err := emulator.FreeAddress()
+	server.NoError(err)
+	status, err := emulator.FreeAddress()
+	server.NoError(err)
+	keyFile := filepath.Join(t.TempDir(), "peers.keys")
+	key := base64.StdEncoding.EncodeToString([]byte("sixteen bytes..."))
+	server.NoError(os.WriteFile(keyFile, []byte(key+"\n"), 0o600))
+	server.Service = fmt.Sprintf("peers:\n  listen: %s\n  first: [%s]\n  founders: [n3]\n  fleet: f\n  servers: 1\n"+
+		"  key_file: %s\n  status: %s\n", gossip, gossip, keyFile, status)
+	server.ReplaceConfig(`"sockets":64`, `"sockets":128`)
+	server.Wrapper = []string{"/bin/sh", "-c", `ulimit -n 128 && exec "$0" "$@"`}
+	server.WriteFilesAndStart()
+	interpreter := server.AcceptInterpreter(0)
+	for _, address := range []string{gossip, status, server.Listen} {
+		for range 300 {
+			connection, err := net.DialTimeout("tcp", address, time.Second)
+			if err == nil {
+				t.Cleanup(func() { servertest.CloseQuietly(connection) })
+			}
+		}
+	}
+	for range 3 {
+		interpreter.ServeOne(server.ConnectRouter(), 1, "goes on")
+	}
+	server.NotContains(server.LogText(), "engine_error")
+}
