--- a/internal/server/admissionhost.go
+++ b/internal/server/admissionhost.go
@@ -27,6 +27,8 @@
 		t.server.checkInvariant(!req.entry.hasStarted, "two requests with the same idempotency key are run")
 		req.entry.hasStarted = true
 	}
+	retention := entryRetention(t.server.config.Settings.Categories[req.category])
+	t.recentRuns.add(req.id, t.server.now, max(t.server.now, req.receivedAt)+retention)
 	t.server.interpreter.run(req)
 }
 
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -125,6 +125,7 @@
 	if r.entry != nil && r.entry.owner == r && !r.runDone {
 		r.entry.hasStarted = false
 	}
+	r.server.requests.recentRuns.remove(r.id)
 	r.reservation.UndoStart(r.server.now)
 	r.handleRunEnd(admission.NeverStarted, 0, nil)
 }
--- a/internal/server/requesttable.go
+++ b/internal/server/requesttable.go
@@ -22,7 +22,8 @@
 	freeSlots []uint64
 	byID      map[string]*request // by the ID from the router, which the interpreter and the index use as well
 
-	entries map[string]*idempotencyEntry // idempotency table, see idempotency.go
+	entries    map[string]*idempotencyEntry // idempotency table, see idempotency.go
+	recentRuns recentRuns
 
 	readySharers    []*request // requests whose shared result is available or will never be
 	unconfirmedRuns []*request // requests without a recipient whose run may never have started
@@ -35,6 +36,7 @@
 	t.server = server
 	t.byID = map[string]*request{}
 	t.entries = map[string]*idempotencyEntry{}
+	t.recentRuns.init(server.config.MemoryBytes)
 	t.wakeupTimer.fire = server.interpreter.onWakeup
 }
 
@@ -57,6 +59,10 @@
 	req.router = router
 	req.stream = stream
 	req.acceptedAt = t.server.now
+	if t.wouldRunAgain(req) {
+		t.respondInvalid(router, stream, errRequestIDInUse)
+		return
+	}
 	req.body = bytes.Clone(stream.Body) // a copy, because the parser's buffer is much larger
 	stream.Owner = req
 	t.byID[req.id] = req
@@ -72,6 +78,16 @@
 	}
 }
 
+// wouldRunAgain reports whether a request came under an identifier that ran recently and has no result to share.
+// Identifiers are new with every attempt, so it is the same attempt again.
+func (t *requestTable) wouldRunAgain(req *request) bool {
+	if !t.recentRuns.contains(req.id, t.server.now) {
+		return false
+	}
+	entry := t.findEntry(req)
+	return entry == nil || !entry.hasStarted
+}
+
 // respondInvalid answers an invalid request with the status of reason, which must be a statusError.
 func (t *requestTable) respondInvalid(router *routerConnection, stream *fastcgi.Request, reason error) {
 	var invalid *statusError
