--- a/internal/fastcgi/parser.go
+++ b/internal/fastcgi/parser.go
@@ -111,6 +111,13 @@
 	p.requests = nil
 }
 
+// ForEachOpen calls visit for every open request.
+func (p *Parser) ForEachOpen(visit func(*Request)) {
+	for _, request := range p.requests {
+		visit(request)
+	}
+}
+
 // releaseBuffers releases the buffers that the request still holds.
 func (r *Request) releaseBuffers(handler Handler) {
 	if r.params != nil {
--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -89,6 +89,7 @@
 	s.checkShutdownSignal() // it may have been delivered since the batch began
 	if s.admission != nil {
 		s.admission.Advance(s.now)
+		s.departures.cancelDeparted()
 		s.requests.processDeferredWork()
 		for _, enabled := range s.enabledSubsystems {
 			enabled.beforeDispatch()
--- a/internal/server/routerconnection.go
+++ b/internal/server/routerconnection.go
@@ -45,6 +45,8 @@
 	receivingSince   timeunit.Ticks // when it began to carry incomplete requests only
 	receivingElement *list.Element  // in routerTable.receivingConnections
 
+	isDepartureChecked bool // in departureCheck.candidates
+
 	requestTimer  timer
 	wasIncomplete bool // a request was incomplete when requestTimer last fired, and none has been completed since
 
@@ -161,6 +163,9 @@
 		return err
 	}
 	c.updateState()
+	if c.parser.HasComplete() {
+		c.server.departures.add(c)
+	}
 	c.server.routers.releaseRequestMemory()
 	if c.state != connectionNew && !c.requestTimer.isSet() && c.parser.HasIncomplete() {
 		c.server.setTimer(&c.requestTimer, c.server.now+requestReadTimeout)
@@ -199,9 +204,16 @@
 	c.conn = nil
 	c.server.routers.openCount--
 	c.server.routers.connections.Remove(c.tableElement)
-	c.parser.Abandon(c, func(open *fastcgi.Request) {
-		if req, isAccepted := open.Owner.(*request); isAccepted {
-			req.cancelByRouter()
-		}
-	})
+	c.parser.Abandon(c, cancelOwner)
+}
+
+// cancelRequests cancels the requests on the connection, because the client does not wait for them any more.
+func (c *routerConnection) cancelRequests() { c.parser.ForEachOpen(cancelOwner) }
+
+// cancelOwner cancels the request, if any, that an open stream belongs to.
+func cancelOwner(open *fastcgi.Request) {
+	if req, isAccepted := open.Owner.(*request); isAccepted {
+		open.Owner = nil
+		req.cancelByRouter()
+	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -77,6 +77,7 @@
 	buffers           bufferPool
 
 	requestBuffers requestBuffers
+	departures     departureCheck
 
 	admission   *admission.Server // nil until the interpreter is up
 	requests    requestTable
