--- a/internal/fastcgi/parser.go
+++ b/internal/fastcgi/parser.go
@@ -43,6 +43,7 @@
 	contentLeft    int    // bytes of the current record's content that have not been received yet
 	paddingLeft    int    // bytes of the current record's padding that have not been received yet
 	controlContent []byte // content received so far of a begin, abort or management record
+	isAbandoned    bool   // the connection was lost, possibly by a call of the Handler
 }
 
 // OpenRequests returns the number of open requests.
@@ -109,6 +110,7 @@
 		request.releaseBuffers(handler)
 	}
 	p.requests = nil
+	p.isAbandoned = true
 }
 
 // ForEachOpen calls visit for every open request.
@@ -131,9 +133,9 @@
 }
 
 // Feed parses the next bytes of the connection, which may be split anywhere. After an error (see ErrUnsupportedVersion
-// and the variables after it) the connection must be closed.
+// and the variables after it) the connection must be closed. It ignores the rest of data if the handler calls Abandon.
 func (p *Parser) Feed(data []byte, handler Handler) error {
-	for len(data) > 0 {
+	for len(data) > 0 && !p.isAbandoned {
 		var err error
 		if p.headerBytes < headerSize {
 			data, err = p.feedHeader(data, handler)
@@ -284,8 +286,8 @@
 	r.Body = append(r.Body, data...)
 }
 
-// reserve returns a buffer with the content of the given one, which may be nil, and room for more bytes after it, unless
-// that would exceed the handler's limit.
+// reserve returns a buffer with the content of the given one, which may be nil, and room for more bytes after it,
+// unless that would exceed the handler's limit.
 func reserve(buffer []byte, more int, handler Handler) []byte {
 	if buffer == nil {
 		buffer = handler.AcquireBuffer()
--- a/internal/server/buffers.go
+++ b/internal/server/buffers.go
@@ -9,11 +9,15 @@
 	bufferSize     = 8 << 10
 	maxFreeBuffers = 256 // free buffers that are kept for reuse
 
-	// connectionMemoryDivisor and minConnectionMemory, in bytes, set the limit on the buffers of requests that are being
-	// received, and the limit on the unread output of all routers; see connectionMemory.
+	// connectionMemoryDivisor and minConnectionMemory, in bytes, set the limit on the buffers of requests that are
+	// being received, and the limit on the unread output of all routers; see connectionMemory.
 	connectionMemoryDivisor = 16
 	minConnectionMemory     = 2 << 20
 
+	// flushThresholdBytes is the output of a router connection, in bytes, that is written before the end of the batch
+	// while more of the router's input is being handled.
+	flushThresholdBytes = bufferSize / 2
+
 	// maxUnreadPerRouter limits the output, in bytes, that one router may leave unread. It exceeds the size of the
 	// responses to all requests that a router can have open.
 	maxUnreadPerRouter = 192 << 10
--- a/internal/server/half_requests_socket_test.go
+++ b/internal/server/half_requests_socket_test.go
@@ -46,7 +46,7 @@
 
 // openHalfRequests opens a connection and half requests on it, in slots from 1, and waits until the program has read
 // them. The connection is no longer new then, as its health check in the slot after them was whole.
-func openHalfRequests(server *servertest.Server, half halfRequest, count int) *servertest.RouterLink {
+func openHalfRequests(server *servertest.Server, half halfRequest, count int) {
 	router := server.ConnectRouter()
 	var records []byte
 	for slot := range uint16(count) {
@@ -59,7 +59,7 @@
 		slot, status, _, _ := router.NextResponse()
 		if slot == healthSlot {
 			server.Equal(200, status)
-			return router
+			return
 		}
 	}
 }
@@ -98,17 +98,19 @@
 	for _, half := range halfRequests {
 		t.Run(half.name, func(t *testing.T) {
 			t.Parallel()
-			server, interpreter := servertest.StartWith(t, `"memory_mb":192,"sockets":64`, `"memory_mb":32,"sockets":384`)
+			const limits = `"memory_mb":32,"sockets":384`
+			server, interpreter := servertest.StartWith(t, `"memory_mb":192,"sockets":64`, limits)
 			slow := server.ConnectRouter()
 			slow.ExpectHealth(1, 200)
 			id := server.NewRequestID()
-			request := emulator.FastCGIRequest(1, "/rpc/look", strings.Repeat("b", 2000), servertest.RequestParameters(id))
+			body := strings.Repeat("b", 2000)
+			request := emulator.FastCGIRequest(1, "/rpc/look", body, servertest.RequestParameters(id))
 			slow.WriteBytes(request[:len(request)-100])
 			for range 40 {
 				openHalfRequests(server, half, 31)
 			}
 			slow.WriteBytes(request[len(request)-100:])
-			interpreter.ExpectApply(id, strings.Repeat("b", 2000))
+			interpreter.ExpectApply(id, body)
 			interpreter.CompleteRun(slow, 1, id, "whole")
 		})
 	}
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -180,8 +180,8 @@
 }
 
 // onIntentTimeout answers a request whose intent did not become durable in time: with the result of another attempt
-// that ran in the meantime, otherwise with a rejection. Once the intent is durable, a cancellation record is written for
-// it.
+// that ran in the meantime, otherwise with a rejection. Once the intent is durable, a cancellation record is written
+// for it.
 func (p *recoverySubsystem) onIntentTimeout(req *request) {
 	entry := p.server.requests.findEntry(req)
 	switch {
--- a/internal/server/recovery_test.go
+++ b/internal/server/recovery_test.go
@@ -202,8 +202,8 @@
 	require.Nil(t, test.server.requests.byID[lateID])
 }
 
-// Guards against a process that has room for few keyed requests for good, because the room of restored entries that have
-// expired is not used again.
+// Guards against a process that has room for few keyed requests for good, because the room of restored entries that
+// have expired is not used again.
 func TestExpiredRestoredEntriesMakeRoom(t *testing.T) {
 	server := newIdleServer(t, testSettings)
 	room := server.recovery.roomForEntries()
--- a/internal/server/requestbuffers.go
+++ b/internal/server/requestbuffers.go
@@ -71,7 +71,8 @@
 	return grown
 }
 
-// requestBufferIndex returns the index in requestBuffers.free of the smallest size that holds the given number of bytes.
+// requestBufferIndex returns the index in requestBuffers.free of the smallest size that holds the given number of
+// bytes.
 func requestBufferIndex(bytes int) int {
 	index := 0
 	for minRequestBufferBytes<<index < bytes {
--- a/internal/server/requestparser.go
+++ b/internal/server/requestparser.go
@@ -66,13 +66,15 @@
 func (t *requestTable) parse(router *routerConnection, stream *fastcgi.Request) (*request, error) {
 	var fields fieldValues
 	hasDuplicate := stream.Params(fieldNames, fields[:])
-	req := &request{id: string(fields[fieldID])}
-	if err := t.parseTarget(req, &fields, stream.Body); err != nil {
+	category, err := t.parseTarget(&fields, stream.Body)
+	if err != nil {
 		return nil, err
 	}
 	if hasDuplicate {
 		return nil, errDuplicateField
 	}
+	req := &request{id: string(fields[fieldID]), category: category}
+	req.arrival.Category = category
 	if err := t.parseIdentity(req, &fields); err != nil {
 		return nil, err
 	}
@@ -86,29 +88,27 @@
 	return req, nil
 }
 
-// parseTarget checks path, method and body, and sets the category.
-func (t *requestTable) parseTarget(req *request, fields *fieldValues, body []byte) error {
+// parseTarget checks path, method and body, and returns the category.
+func (t *requestTable) parseTarget(fields *fieldValues, body []byte) (category int, err error) {
 	name, hasPrefix := bytes.CutPrefix(fields[fieldPath], pathPrefix)
 	if !hasPrefix {
-		return errUnknownPath
+		return 0, errUnknownPath
 	}
 	category, isKnown := t.server.config.Settings.CategoryIndex[string(name)]
 	if !isKnown {
-		return errUnknownCategory
+		return 0, errUnknownCategory
 	}
 	if string(fields[fieldMethod]) != "POST" {
-		return errMethod
+		return 0, errMethod
 	}
 	if len(body) > maxBodyBytes {
-		return errBodyTooLong
+		return 0, errBodyTooLong
 	}
 	length := fields[fieldLength]
 	if len(length) > 0 && string(length) != strconv.Itoa(len(body)) {
-		return errContentLength
+		return 0, errContentLength
 	}
-	req.category = category
-	req.arrival.Category = category
-	return nil
+	return category, nil
 }
 
 // parseIdentity checks the request ID and sets the time at which the router received the request.
--- a/internal/server/routerconnection.go
+++ b/internal/server/routerconnection.go
@@ -159,7 +159,7 @@
 	c.isReading = true
 	err := c.parser.Feed(data, c)
 	c.isReading = false
-	if err != nil {
+	if err != nil || c.state == connectionClosed {
 		return err
 	}
 	c.updateState()
--- a/internal/server/routerrequests.go
+++ b/internal/server/routerrequests.go
@@ -28,7 +28,20 @@
 }
 
 // Send implements fastcgi.Handler: it sends records with which the parser itself responds.
-func (c *routerConnection) Send(records []byte) { c.output = append(c.buffer(), records...) }
+func (c *routerConnection) Send(records []byte) {
+	c.flushWhileReading()
+	c.output = append(c.buffer(), records...)
+}
+
+// flushWhileReading writes the output so far if the client sends so much at once that its responses would pile up until
+// the end of the batch. If the client does not read, they wait for the end of the batch, which limits them. A failed
+// write closes the connection, so only the methods that the parser calls may call flushWhileReading.
+func (c *routerConnection) flushWhileReading() {
+	if len(c.output) >= flushThresholdBytes && c.conn != nil && c.conn.OutboundBuffered() == 0 {
+		_, _ = c.conn.Write(c.output) // gnet closes the connection when a write fails
+		c.output = c.output[:0]
+	}
+}
 
 // HasCapacity implements fastcgi.Handler. There is always room for another request: whether it repeats one that ran, so
 // that it must not be rejected, is known only once it is complete. Incomplete requests make room for it; see
@@ -37,6 +50,10 @@
 
 // HandleRequest implements fastcgi.Handler: it handles a complete request.
 func (c *routerConnection) HandleRequest(stream *fastcgi.Request) {
+	c.flushWhileReading()
+	if c.state == connectionClosed {
+		return
+	}
 	if c.closeAfterWrite && !c.readBeforeClose {
 		return // the request follows the one that asked for the close, and is never run
 	}
@@ -63,11 +80,13 @@
 
 // HandleBodyTooLong implements fastcgi.Handler: it answers a request whose body exceeds the parser's limit.
 func (c *routerConnection) HandleBodyTooLong(stream *fastcgi.Request) {
+	c.flushWhileReading()
 	c.respond(stream, errBodyTooLong.status, "", nil)
 }
 
 // HandleAbort implements fastcgi.Handler: it cancels a request that the router has aborted and ends its stream.
 func (c *routerConnection) HandleAbort(stream *fastcgi.Request) {
+	c.flushWhileReading()
 	if req, isAccepted := stream.Owner.(*request); isAccepted {
 		req.cancelByRouter()
 	}
