--- a/internal/server/eventloop.go
+++ b/internal/server/eventloop.go
@@ -69,6 +69,7 @@
 	s.checkShutdownSignal()
 	if !s.endBatchQueued {
 		s.endBatchQueued = true
+		s.batchStartedAt = s.now
 		// Execute fails only after the loop has ended.
 		_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(s.endBatch))
 	}
@@ -81,6 +82,9 @@
 		return gnetErrors.ErrEngineShutdown
 	}
 	s.now = max(s.now, s.clock.now())
+	if s.pauseState == pauseReadingSockets {
+		s.continueReading()
+	}
 	if s.deferAfterPause() {
 		s.endBatchQueued = false
 		return nil
@@ -96,6 +100,7 @@
 		}
 		s.admission.Dispatch()
 	}
+	startedAt := s.batchStartedAt
 	s.endBatchQueued = false // from here on deferred work, or a write that closes its connection, starts the next batch
 	if s.requests.hasDeferredWork() {
 		s.beginBatch()
@@ -104,6 +109,7 @@
 		enabled.afterDispatch()
 	}
 	s.writeOutput()
+	s.acceptAfterLongBatch(startedAt)
 	s.armSystemTimer()
 	return nil
 }
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -96,6 +96,7 @@
 	afterGrace := max(timeLeft-s.config.Settings.DrainGrace, timeLeft/4)
 	closeIdle := func() {
 		s.advancePhase(phaseClosing)
+		s.acceptor.close()
 		s.refuseNewConnections()
 		s.routers.closeAllIdle()
 	}
--- a/internal/server/pause.go
+++ b/internal/server/pause.go
@@ -12,9 +12,13 @@
 const (
 	pauseNone            pauseState = iota
 	pauseAwaitingSockets            // timers and dispatch wait until the sockets have been read once more
+	pauseReadingSockets             // they wait until no input is unread, but not for long
 	pauseSocketsRead                // the sockets have been read; late timers may fire
 )
 
+// maxPauseReading is how long timers and dispatch wait until input that arrived during a pause has been read.
+const maxPauseReading = second / 50
+
 // routerTolerance is how long after the grace period a request may still run, as routers measure it.
 const routerTolerance = second / 20
 
@@ -38,7 +42,7 @@
 			s.awaitSockets(0)
 		}
 	}
-	return s.pauseState == pauseAwaitingSockets
+	return s.pauseState == pauseAwaitingSockets || s.pauseState == pauseReadingSockets
 }
 
 // isTimerLate reports whether the earliest timer is so late that there must have been a pause.
@@ -63,8 +67,39 @@
 	time.AfterFunc(delay, func() { s.submit(s.resumeAfterPause) })
 }
 
-// resumeAfterPause fires the late timers after the sockets have been read.
+// resumeAfterPause fires the late timers after the sockets have been read once. If there is more to read, it leaves
+// that to continueReading.
 func (s *Server) resumeAfterPause() {
+	if s.hasUnreadConnection() {
+		s.pauseState = pauseReadingSockets
+		s.pauseReadUntil = s.now + maxPauseReading
+		return
+	}
+	s.finishPause()
+}
+
+// continueReading is called at the end of a batch that read the sockets after a pause. It fires the late timers if
+// there is nothing more to read, or if that takes too long.
+func (s *Server) continueReading() {
+	if s.now >= s.pauseReadUntil || !s.hasUnreadConnection() {
+		s.finishPause()
+	}
+}
+
+func (s *Server) finishPause() {
 	s.pauseState = pauseSocketsRead
 	s.fireTimers()
 }
+
+// hasUnreadConnection reports whether the interpreter or a router has sent input that has not been read.
+func (s *Server) hasUnreadConnection() bool {
+	if s.interpreter.conn != nil && hasUnreadInput(s.interpreter.conn) {
+		return true
+	}
+	for element := s.routers.connections.Front(); element != nil; element = element.Next() {
+		if conn := element.Value.(*routerConnection).conn; conn != nil && hasUnreadInput(conn) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/server/routertable.go
+++ b/internal/server/routertable.go
@@ -66,6 +66,11 @@
 	return &routerConnection{outputBuffer: outputBuffer{server: t.server, maxUnread: maxUnreadPerRouter}}
 }
 
+// freeDescriptors returns the number of descriptors that neither open nor closing connections use.
+func (t *routerTable) freeDescriptors() int {
+	return t.maxConnections - t.openCount - t.server.closing.connections.Len()
+}
+
 // evict closes one connection to make room for a new one, and reports whether it found one to close.
 func (t *routerTable) evict() bool {
 	candidate := t.evictionCandidate()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -39,8 +39,9 @@
 	// maxQueuedCommands is the maximum number of commands from other goroutines that wait for the loop.
 	maxQueuedCommands = 8
 
-	// readBufferBytes is the size of gnet's read buffer.
-	readBufferBytes = 1 << 16
+	// readBufferBytes is the size of gnet's read buffer, and so the input of one connection that a batch handles. A
+	// client that sends at full speed makes the batch longer for all others.
+	readBufferBytes = 8 << 10
 )
 
 // Server is one app server. New creates it and Run runs it. Shutdown, Reconfigure and PluginState may be called from
@@ -66,12 +67,15 @@
 	systemTimer         *time.Timer
 	systemTimerDeadline timeunit.Ticks // deadline for which systemTimer is set, or noDeadline
 	pauseState          pauseState
+	pauseReadUntil      timeunit.Ticks // end of pauseReadingSockets
 	timerLateness       lagHistogram
 	peakLateness        peakLateness
 	pauseMonitor        pauseMonitor
 
 	// Output. pendingWrites holds the connections that are written at the end of the batch.
 	endBatchQueued    bool
+	batchStartedAt    timeunit.Ticks
+	acceptor          acceptor
 	pendingWrites     []*outputBuffer
 	unreadConnections map[*outputBuffer]struct{} // connections whose peer has not read all output
 	buffers           bufferPool
