A connection closed while it is read leaves the list of evictable ones; only RDHUP means departed

A write that fails while input is parsed closes the connection while isReading is set, so it stayed in receivingConnections and an eviction closed nothing. And the check for departed clients took POLLHUP and POLLERR for a close too, which a system may report for descriptors that are no connected socket.

Change: closed() ends isReading first; only POLLRDHUP counts.

Measured: TestConnectionClosedWhileReadingIsNoEvictionCandidate fails without the first change; the tests of departed clients pass.

--- a/internal/server/departed.go
+++ b/internal/server/departed.go
@@ -2,9 +2,6 @@
 
 import "golang.org/x/sys/unix"
 
-// departedEvents are the events of a connection whose peer has closed it, or at least its side of it.
-const departedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-
 // departureCheck finds the clients that have closed their connection. The engine reports a close only after everything
 // that the client sent before has been read, which takes several batches if that is much; without this check, requests
 // that were read first would run although nobody waits for them.
@@ -39,7 +36,7 @@
 	found, err := unix.Poll(d.descriptors, 0)
 	if err == nil && found > 0 {
 		for i, candidate := range d.candidates {
-			if d.descriptors[i].Revents&departedEvents != 0 {
+			if d.descriptors[i].Revents&unix.POLLRDHUP != 0 {
 				candidate.cancelRequests()
 			}
 		}
--- a/internal/server/routerconnection.go
+++ b/internal/server/routerconnection.go
@@ -199,6 +199,7 @@
 
 func (c *routerConnection) closed() {
 	c.setState(connectionClosed)
+	c.isReading = false // a failed write may close the connection while the parser is being fed
 	c.updateReceiving()
 	c.server.stopTimer(&c.requestTimer)
 	c.conn = nil
