The acceptor drops a connection that its client has reset before it was registered

Callers saw nothing; the log had "goroutine pool panic: nil pointer dereference" from the engine.

Cause: net.FileConn has no remote address for a connection that was reset, and the engine asks for the network of that address when a connection is handed to it.

Change: such a connection is closed.

--- a/internal/server/acceptor.go
+++ b/internal/server/acceptor.go
@@ -89,6 +89,10 @@
 		a.disable(server, err)
 		return
 	}
+	if connection.RemoteAddr() == nil { // the client has reset it, and the engine needs its address
+		_ = connection.Close()
+		return
+	}
 	result, err := server.loop.Enroll(context.Background(), connection)
 	if err != nil {
 		_ = connection.Close() // the engine has ended
