One check of a started entry, one shared answer, one loop of half requests

Whether a repeat's entry was started stood three times, the answer of a shared run twice, the loop over all slots of a bad client three times, and the count of output buffers in use was read by nobody since requests have buffers of their own.

Change: findStartedEntry, respondSharedResult and holdInAllSlots; bufferPool.inUse is gone. Nothing behaves otherwise but one stand-in, which begins its 32 requests in one write.

--- a/internal/badclient/badclient.go
+++ b/internal/badclient/badclient.go
@@ -161,8 +161,16 @@
 // discardInput reads and discards all that the server sends, until the connection ends.
 func (c *Client) discardInput() { _, _ = io.Copy(io.Discard, c.Conn) }
 
-// waitForClose waits until the server closes the connection, and discards what it sends.
-func (c *Client) waitForClose() { c.discardInput() }
+// holdInAllSlots sends a part of a request in each slot of the connection, and then nothing until the server closes it.
+func (c *Client) holdInAllSlots(part func(slot uint16) []byte) {
+	for slot := range uint16(slotsPerConnection) {
+		if !c.send(part(slot + 1)) {
+			return
+		}
+		c.Sent.Add(1)
+	}
+	c.discardInput()
+}
 
 // flood writes what next returns, at full speed, and discards what the server sends. next appends one request.
 func (c *Client) flood(next func(data []byte) []byte) {
@@ -240,31 +248,19 @@
 }
 
 // holdHalfRequests sends as many long half requests as a connection carries, and then nothing.
-func holdHalfRequests(c *Client) {
-	for slot := range uint16(slotsPerConnection) {
-		if !c.send(halfRequest(slot + 1)) {
-			return
-		}
-		c.Sent.Add(1)
-	}
-	c.waitForClose()
-}
+func holdHalfRequests(c *Client) { c.holdInAllSlots(halfRequest) }
 
 // beginThenHoldHalfRequests begins as many requests as a connection carries, waits, and then sends a long part of each.
 func beginThenHoldHalfRequests(c *Client) {
+	var begins []byte
 	for slot := range uint16(slotsPerConnection) {
-		if !c.send(emulator.FastCGIRecord(recordBegin, slot+1, beginContent)) {
-			return
-		}
+		begins = append(begins, emulator.FastCGIRecord(recordBegin, slot+1, beginContent)...)
 	}
-	time.Sleep(300 * time.Millisecond)
-	for slot := range uint16(slotsPerConnection) {
-		if !c.send(halfRequestContent(slot + 1)) {
-			return
-		}
-		c.Sent.Add(1)
+	if !c.send(begins) {
+		return
 	}
-	c.waitForClose()
+	time.Sleep(300 * time.Millisecond)
+	c.holdInAllSlots(halfRequestContent)
 }
 
 // sendManyFields sends whole requests whose heads consist of very many short fields, at full speed.
@@ -280,14 +276,10 @@
 
 // holdHeadsOfManyFields sends unfinished heads of very many short fields in all slots, and then nothing.
 func holdHeadsOfManyFields(c *Client) {
-	for slot := range uint16(slotsPerConnection) {
-		head := emulator.FastCGIRecord(recordBegin, slot+1, beginContent)
-		if !c.send(append(head, emulator.FastCGIRecord(recordParams, slot+1, manyFields(longBytes))...)) {
-			return
-		}
-		c.Sent.Add(1)
-	}
-	c.waitForClose()
+	c.holdInAllSlots(func(slot uint16) []byte {
+		head := emulator.FastCGIRecord(recordBegin, slot, beginContent)
+		return append(head, emulator.FastCGIRecord(recordParams, slot, manyFields(longBytes))...)
+	})
 }
 
 // floodSmallRequests sends the smallest whole requests, for a path that does not exist.
--- a/internal/server/buffers.go
+++ b/internal/server/buffers.go
@@ -34,14 +34,10 @@
 }
 
 // bufferPool is a free list of buffers of bufferSize bytes, which hold the output of a batch.
-type bufferPool struct {
-	free  [][]byte
-	inUse int
-}
+type bufferPool struct{ free [][]byte }
 
 // get returns an empty buffer from the pool, or a new one if the pool is empty.
 func (p *bufferPool) get() []byte {
-	p.inUse++
 	lastIndex := len(p.free) - 1
 	if lastIndex < 0 {
 		return make([]byte, 0, bufferSize)
@@ -53,7 +49,6 @@
 
 // put returns a buffer to the pool. A buffer that has grown is left to the garbage collector.
 func (p *bufferPool) put(buffer []byte) {
-	p.inUse--
 	if cap(buffer) == bufferSize && len(p.free) < maxFreeBuffers {
 		p.free = append(p.free, buffer[:0])
 	}
--- a/internal/server/idempotency.go
+++ b/internal/server/idempotency.go
@@ -69,6 +69,16 @@
 	return entry
 }
 
+// findStartedEntry is like findEntry, but returns nil also if no attempt was started. The result, or the failure, of an
+// entry that it returns is owed to every repeat.
+func (t *requestTable) findStartedEntry(req *request) *idempotencyEntry {
+	entry := t.findEntry(req)
+	if entry == nil || !entry.hasStarted {
+		return nil
+	}
+	return entry
+}
+
 // addEntry adds the entry of an attempt that admission has accepted. It removes the entry of a queued attempt that the
 // new one replaces.
 func (t *requestTable) addEntry(owner *request, key string, bodyHash [sha256.Size]byte) {
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -183,19 +183,17 @@
 // that ran in the meantime, otherwise with a rejection. Once the intent is durable, a cancellation record is written
 // for it.
 func (p *recoverySubsystem) onIntentTimeout(req *request) {
-	entry := p.server.requests.findEntry(req)
+	entry := p.server.requests.findStartedEntry(req)
 	switch {
-	case entry == nil || !entry.hasStarted:
+	case entry == nil:
 		p.logRejection(&p.rejectedLate, "late")
 		req.respond(statusRejected, "", nil)
 	case entry.bodyHash != sha256.Sum256(req.body):
 		req.respond(errKeyReused.status, "", nil)
 	case !entry.hasEnded:
 		req.respond(statusAborted, "", nil)
-	case entry.succeeded:
-		req.respond(statusOK, "", entry.result)
 	default:
-		req.respond(statusSharedRunFailed, "", nil)
+		req.respondSharedResult(entry)
 	}
 }
 
@@ -248,8 +246,7 @@
 	if err != nil {
 		req.intentWindowEnd = 0 // there is no record to conclude
 	}
-	entry := p.server.requests.findEntry(req)
-	hasRun := entry != nil && entry.hasStarted
+	hasRun := p.server.requests.findStartedEntry(req) != nil
 	switch {
 	case err != nil && hasRouter && !hasRun:
 		p.reject(req, &p.rejectedFailed, err.Error(), p.server.config.Settings.MaxRetryAfter)
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -97,6 +97,17 @@
 	router.respond(stream, status, headers, body)
 }
 
+// respondSharedResult answers a repeat with the result of the entry's run, or with a failure if there is none, and
+// returns which.
+func (r *request) respondSharedResult(entry *idempotencyEntry) admission.Outcome {
+	if entry.hasEnded && entry.succeeded {
+		r.respond(statusOK, "", entry.result)
+		return admission.Succeeded
+	}
+	r.respond(statusSharedRunFailed, "", nil)
+	return admission.Failed
+}
+
 // detachRouter clears the recipient of the response. If it is in doubt whether the run ever started, it also schedules
 // the run to be ended, because nobody waits for it any more.
 func (r *request) detachRouter() {
--- a/internal/server/requesttable.go
+++ b/internal/server/requesttable.go
@@ -81,11 +81,7 @@
 // wouldRunAgain reports whether a request came under an identifier that ran recently and has no result to share.
 // Identifiers are new with every attempt, so it is the same attempt again.
 func (t *requestTable) wouldRunAgain(req *request) bool {
-	if !t.recentRuns.contains(req.id, t.server.now) {
-		return false
-	}
-	entry := t.findEntry(req)
-	return entry == nil || !entry.hasStarted
+	return t.recentRuns.contains(req.id, t.server.now) && t.findStartedEntry(req) == nil
 }
 
 // respondInvalid answers an invalid request with the status of reason, which must be a statusError.
@@ -230,12 +226,6 @@
 }
 
 func (t *requestTable) respondSharer(sharer *request) {
-	outcome := admission.Failed
-	if sharer.entry.hasEnded && sharer.entry.succeeded {
-		outcome = admission.Succeeded
-		sharer.respond(statusOK, "", sharer.entry.result)
-	} else {
-		sharer.respond(statusSharedRunFailed, "", nil)
-	}
+	outcome := sharer.respondSharedResult(sharer.entry)
 	sharer.handle.RunEnded(outcome, t.server.now-sharer.acceptedAt)
 }
--- a/internal/server/sequence_test.go
+++ b/internal/server/sequence_test.go
@@ -215,7 +215,6 @@
 		}
 	}
 	server.pendingWrites = nil
-	server.buffers.inUse = 0
 	stats := server.admission.Stats()
 	p.observe(int64(server.now), server.requests.count(), server.index.inFlight, server.index.connections,
 		len(server.requests.entries), stats.Queued, stats.Running, stats.WaitingAtCalls)
