The first record of a request, a process's memory and a parsed identifier stand once

The record that begins a request was written out in the emulator, the bad clients and two test files; the memory of a process was read twice; the identifier of a run was parsed again each time it was looked up or remembered.

Change: emulator.FastCGIBegin and exported record types, clustertest.ProcessMemoryKB, and recentRuns works on the number that the parser of requests has. Nothing behaves otherwise; the assertions are the same, the identifiers in the table's own tests are numbers.

Measured: the tests of internal/server and TestMeasuredBadClients pass without -race.

--- a/internal/badclient/badclient.go
+++ b/internal/badclient/badclient.go
@@ -18,16 +18,6 @@
 	"thistlequay/internal/emulator"
 )
 
-// Record types of FastCGI and the content of a record that begins a request.
-const (
-	recordBegin  = 1
-	recordAbort  = 2
-	recordParams = 4
-	recordStdin  = 5
-
-	beginContent = "\x00\x01\x01\x00\x00\x00\x00\x00"
-)
-
 const (
 	// slotsPerConnection is the number of requests that a connection may carry.
 	slotsPerConnection = 32
@@ -205,14 +195,14 @@
 
 // halfRequest returns the records of a request that is cut off: long parameters, then a long part of a body.
 func halfRequest(slot uint16) []byte {
-	return append(emulator.FastCGIRecord(recordBegin, slot, beginContent), halfRequestContent(slot)...)
+	return append(emulator.FastCGIBegin(slot), halfRequestContent(slot)...)
 }
 
 // halfRequestContent returns halfRequest without the record that begins the request.
 func halfRequestContent(slot uint16) []byte {
-	data := emulator.FastCGIRecord(recordParams, slot, manyFields(longBytes))
-	data = append(data, emulator.FastCGIRecord(recordParams, slot, "")...)
-	return append(data, emulator.FastCGIRecord(recordStdin, slot, strings.Repeat("b", longBytes))...)
+	data := emulator.FastCGIRecord(emulator.RecordParams, slot, manyFields(longBytes))
+	data = append(data, emulator.FastCGIRecord(emulator.RecordParams, slot, "")...)
+	return append(data, emulator.FastCGIRecord(emulator.RecordStdin, slot, strings.Repeat("b", longBytes))...)
 }
 
 // writeInPieces writes data in pieces of a few bytes with a pause after each.
@@ -254,7 +244,7 @@
 func beginThenHoldHalfRequests(c *Client) {
 	var begins []byte
 	for slot := range uint16(slotsPerConnection) {
-		begins = append(begins, emulator.FastCGIRecord(recordBegin, slot+1, beginContent)...)
+		begins = append(begins, emulator.FastCGIBegin(slot+1)...)
 	}
 	if !c.send(begins) {
 		return
@@ -267,26 +257,26 @@
 func sendManyFields(c *Client) {
 	params := manyFields(longBytes)
 	c.flood(func(data []byte) []byte {
-		data = append(data, emulator.FastCGIRecord(recordBegin, 1, beginContent)...)
-		data = append(data, emulator.FastCGIRecord(recordParams, 1, params)...)
-		data = append(data, emulator.FastCGIRecord(recordParams, 1, "")...)
-		return append(data, emulator.FastCGIRecord(recordStdin, 1, "")...)
+		data = append(data, emulator.FastCGIBegin(1)...)
+		data = append(data, emulator.FastCGIRecord(emulator.RecordParams, 1, params)...)
+		data = append(data, emulator.FastCGIRecord(emulator.RecordParams, 1, "")...)
+		return append(data, emulator.FastCGIRecord(emulator.RecordStdin, 1, "")...)
 	})
 }
 
 // holdHeadsOfManyFields sends unfinished heads of very many short fields in all slots, and then nothing.
 func holdHeadsOfManyFields(c *Client) {
 	c.holdInAllSlots(func(slot uint16) []byte {
-		head := emulator.FastCGIRecord(recordBegin, slot, beginContent)
-		return append(head, emulator.FastCGIRecord(recordParams, slot, manyFields(longBytes))...)
+		head := emulator.FastCGIBegin(slot)
+		return append(head, emulator.FastCGIRecord(emulator.RecordParams, slot, manyFields(longBytes))...)
 	})
 }
 
 // floodSmallRequests sends the smallest whole requests, for a path that does not exist.
 func floodSmallRequests(c *Client) {
-	request := emulator.FastCGIRecord(recordBegin, 1, beginContent)
-	request = append(request, emulator.FastCGIRecord(recordParams, 1, "")...)
-	request = append(request, emulator.FastCGIRecord(recordStdin, 1, "")...)
+	request := emulator.FastCGIBegin(1)
+	request = append(request, emulator.FastCGIRecord(emulator.RecordParams, 1, "")...)
+	request = append(request, emulator.FastCGIRecord(emulator.RecordStdin, 1, "")...)
 	c.flood(func(data []byte) []byte { return append(data, request...) })
 }
 
@@ -297,9 +287,9 @@
 		emulator.FastCGIRecord(77, 0, ""),
 		emulator.FastCGIRecord(78, 9, "?"),
 		emulator.FastCGIRecord(9, 0, "\x0f\x00FCGI_MPXS_CONNS"),
-		emulator.FastCGIRecord(recordBegin, 3, unknownRole),
-		emulator.FastCGIRecord(recordAbort, 5, ""),
-		emulator.FastCGIRecord(recordStdin, 6, "of no request"),
+		emulator.FastCGIRecord(emulator.RecordBeginRequest, 3, unknownRole),
+		emulator.FastCGIRecord(emulator.RecordAbortRequest, 5, ""),
+		emulator.FastCGIRecord(emulator.RecordStdin, 6, "of no request"),
 	}
 	c.flood(func(data []byte) []byte { return append(data, records[c.Random.Intn(len(records))]...) })
 }
@@ -354,7 +344,7 @@
 func floodAborted(c *Client) {
 	c.flood(func(data []byte) []byte {
 		data = append(data, c.request(1, "/rpc/look", 20)...)
-		return append(data, emulator.FastCGIRecord(recordAbort, 1, "")...)
+		return append(data, emulator.FastCGIRecord(emulator.RecordAbortRequest, 1, "")...)
 	})
 }
 
--- a/internal/badclient/badclient_test.go
+++ b/internal/badclient/badclient_test.go
@@ -6,14 +6,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"thistlequay/internal/clustertest"
 	"thistlequay/internal/servertest"
 )
 
@@ -80,9 +79,9 @@
 		crowds = append(crowds, Start(server.Listen, ByName(name), count, tr.seed))
 	}
 	for end := time.Now().Add(tr.duration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		observed.anonymousKB = max(observed.anonymousKB, processKB(t, server, "RssAnon:"))
+		observed.anonymousKB = max(observed.anonymousKB, memoryKB(t, server, clustertest.AnonymousMemory))
 	}
-	observed.peakKB = processKB(t, server, "VmHWM:")
+	observed.peakKB = memoryKB(t, server, clustertest.PeakMemory)
 	for _, crowd := range crowds {
 		crowd.Stop()
 		observed.badSent += crowd.Sent.Load()
@@ -111,16 +110,11 @@
 		o.repeatsServed, o.latency(0.5).Milliseconds(), o.latency(0.99).Milliseconds(), o.latency(1).Milliseconds())
 }
 
-// processKB returns a figure of /proc/PID/status in kilobytes.
-func processKB(t *testing.T, server *servertest.Server, name string) int {
+// memoryKB returns a figure of the memory of the server's process in kilobytes.
+func memoryKB(t *testing.T, server *servertest.Server, figure string) int {
 	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", server.Process.Process.Pid))
-	require.NoError(t, err)
-	_, after, _ := strings.Cut(string(text), name)
-	fields := strings.Fields(after)
-	require.NotEmpty(t, fields, "the process ended")
-	kb, err := strconv.Atoi(fields[0])
-	require.NoError(t, err)
+	kb, err := clustertest.ProcessMemoryKB(server.Process.Process.Pid, figure)
+	require.NoError(t, err, "the process may have ended")
 	return kb
 }
 
--- a/internal/clustertest/gossip_test.go
+++ b/internal/clustertest/gossip_test.go
@@ -52,11 +52,13 @@
 	}
 	last := cluster.gossipStatus(observer)
 	bytesPerSecond := float64(last.SentBytes-first.SentBytes) / time.Since(startedAt).Seconds()
+	memoryKB, err := clustertest.ProcessMemoryKB(observer.PID(), clustertest.AnonymousMemory)
+	cluster.NoError(err)
 	t.Logf("measured gossip members=%d detect_p50_ms=%d detect_p99_ms=%d false_positives=%d converge_ms=%d heal_ms=%d "+
 		"both_whole=%d bytes_per_second=%.0f rss_kb=%d malformed=%d",
 		servers, detected[len(detected)/2].Milliseconds(), longest(detected).Milliseconds(), falsePositives,
 		longest(converged).Milliseconds(), longest(healed).Milliseconds(),
-		rivals.Count(), bytesPerSecond, cluster.anonymousMemoryKB(observer), malformed)
+		rivals.Count(), bytesPerSecond, memoryKB, malformed)
 	cluster.Zero(malformed)
 	cluster.Zero(rivals.Count())
 }
--- a/internal/clustertest/harness_test.go
+++ b/internal/clustertest/harness_test.go
@@ -205,18 +205,6 @@
 	return traffic
 }
 
-// anonymousMemoryKB returns the resident anonymous memory (RssAnon) of the server's process, in kilobytes.
-func (c *testCluster) anonymousMemoryKB(server *clustertest.Server) (memoryKB int) {
-	c.t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", server.PID()))
-	c.NoError(err)
-	_, after, found := strings.Cut(string(text), "RssAnon:")
-	c.True(found)
-	_, err = fmt.Sscan(after, &memoryKB)
-	c.NoError(err)
-	return memoryKB
-}
-
 // medianLatency sends requests with 0.1 ms of work, one after the other, and returns their median response time.
 func (c *testCluster) medianLatency(server *clustertest.Server, requests int) time.Duration {
 	c.t.Helper()
--- a/internal/emulator/router.go
+++ b/internal/emulator/router.go
@@ -11,15 +11,20 @@
 	"time"
 )
 
-// Version, record types and header size of FastCGI, from its specification (version 1).
+// Types of the records that a client sends, from the specification of FastCGI (version 1).
 const (
-	fastCGIVersion     = 1
-	recordBeginRequest = 1
-	recordEndRequest   = 3
-	recordParams       = 4
-	recordStdin        = 5
-	recordStdout       = 6
-	recordHeaderBytes  = 8
+	RecordBeginRequest = 1
+	RecordAbortRequest = 2
+	RecordParams       = 4
+	RecordStdin        = 5
+)
+
+// Version, header size and types of the server's records, from the same specification.
+const (
+	fastCGIVersion    = 1
+	recordEndRequest  = 3
+	recordStdout      = 6
+	recordHeaderBytes = 8
 
 	// beginResponderKeepOpen is the body of a begin record with the responder role and the flag that keeps the
 	// connection open after the request.
@@ -36,16 +41,21 @@
 	return append(record, content...)
 }
 
+// FastCGIBegin returns the record that begins a request in the given slot and keeps the connection open after it.
+func FastCGIBegin(slot uint16) []byte {
+	return FastCGIRecord(RecordBeginRequest, slot, beginResponderKeepOpen)
+}
+
 // FastCGIRequest returns the records of one complete request. The path is sent first, as SCRIPT_NAME; the parameters
 // follow, sorted by name. Each name and each value must be shorter than 128 bytes.
 func FastCGIRequest(slot uint16, path, body string, parameters map[string]string) []byte {
-	data := FastCGIRecord(recordBeginRequest, slot, beginResponderKeepOpen)
-	data = append(data, FastCGIRecord(recordParams, slot, encodeParameters(path, parameters))...)
-	data = append(data, FastCGIRecord(recordParams, slot, "")...)
+	data := FastCGIBegin(slot)
+	data = append(data, FastCGIRecord(RecordParams, slot, encodeParameters(path, parameters))...)
+	data = append(data, FastCGIRecord(RecordParams, slot, "")...)
 	if body != "" {
-		data = append(data, FastCGIRecord(recordStdin, slot, body)...)
+		data = append(data, FastCGIRecord(RecordStdin, slot, body)...)
 	}
-	return append(data, FastCGIRecord(recordStdin, slot, "")...)
+	return append(data, FastCGIRecord(RecordStdin, slot, "")...)
 }
 
 // encodeParameters returns the encoded name-value pairs: the path first, then the parameters sorted by name.
--- a/internal/server/admissionhost.go
+++ b/internal/server/admissionhost.go
@@ -28,7 +28,7 @@
 		req.entry.hasStarted = true
 	}
 	retention := entryRetention(t.server.config.Settings.Categories[req.category])
-	t.recentRuns.add(req.id, t.server.now, max(t.server.now, req.receivedAt)+retention)
+	t.recentRuns.add(req.number, t.server.now, max(t.server.now, req.receivedAt)+retention)
 	t.server.interpreter.run(req)
 }
 
--- a/internal/server/half_requests_socket_test.go
+++ b/internal/server/half_requests_socket_test.go
@@ -9,13 +9,6 @@
 	"thistlequay/internal/servertest"
 )
 
-// Record types of FastCGI.
-const (
-	beginRecord  = 1
-	paramsRecord = 4
-	bodyRecord   = 5
-)
-
 // halfRequest is the part of a request that a client sends before it stops.
 type halfRequest struct {
 	name        string
@@ -26,12 +19,13 @@
 // records returns the records of a half request in the given slot.
 func (h halfRequest) records(slot uint16) []byte {
 	const path = "\x0b\x09SCRIPT_NAME/rpc/look"
-	records := emulator.FastCGIRecord(beginRecord, slot, "\x00\x01\x01\x00\x00\x00\x00\x00")
+	records := emulator.FastCGIBegin(slot)
 	params := path + strings.Repeat("\x01\x01xy", max(0, h.paramsBytes-len(path))/4) // very many short fields
-	records = append(records, emulator.FastCGIRecord(paramsRecord, slot, params)...)
+	records = append(records, emulator.FastCGIRecord(emulator.RecordParams, slot, params)...)
 	if h.bodyBytes > 0 {
-		records = append(records, emulator.FastCGIRecord(paramsRecord, slot, "")...)
-		records = append(records, emulator.FastCGIRecord(bodyRecord, slot, strings.Repeat("b", h.bodyBytes))...)
+		records = append(records, emulator.FastCGIRecord(emulator.RecordParams, slot, "")...)
+		body := strings.Repeat("b", h.bodyBytes)
+		records = append(records, emulator.FastCGIRecord(emulator.RecordStdin, slot, body)...)
 	}
 	return records
 }
--- a/internal/server/recentruns.go
+++ b/internal/server/recentruns.go
@@ -1,10 +1,6 @@
 package server
 
-import (
-	"strconv"
-
-	"thistlequay/timeunit"
-)
+import "thistlequay/timeunit"
 
 const (
 	// recentRunMemoryDivisor sets the memory for the identifiers of recent runs to 1/64 of the memory limit.
@@ -37,28 +33,17 @@
 }
 
 // add remembers the identifier of a request that is started, until the given time.
-func (r *recentRuns) add(requestID string, now, until timeunit.Ticks) {
-	id, isValid := numericID(requestID)
-	if !isValid {
-		return
-	}
+func (r *recentRuns) add(id uint64, now, until timeunit.Ticks) {
 	r.forgetAt[id] = until
 	r.order = append(r.order, recentRun{id, until})
 	r.forgetOld(now)
 }
 
 // remove forgets the identifier of a request whose run provably never started.
-func (r *recentRuns) remove(requestID string) {
-	if id, isValid := numericID(requestID); isValid {
-		delete(r.forgetAt, id)
-	}
-}
+func (r *recentRuns) remove(id uint64) { delete(r.forgetAt, id) }
 
 // contains reports whether a request with the identifier was started recently.
-func (r *recentRuns) contains(requestID string, now timeunit.Ticks) bool {
-	id, isValid := numericID(requestID)
-	return isValid && r.forgetAt[id] > now
-}
+func (r *recentRuns) contains(id uint64, now timeunit.Ticks) bool { return r.forgetAt[id] > now }
 
 // forgetOld forgets the oldest identifiers, as long as their time is over or there are too many.
 func (r *recentRuns) forgetOld(now timeunit.Ticks) {
@@ -77,9 +62,3 @@
 		r.first = 0
 	}
 }
-
-// numericID returns the number that an identifier of requestIDDigits hexadecimal digits represents.
-func numericID(requestID string) (id uint64, isValid bool) {
-	id, err := strconv.ParseUint(requestID, 16, 64)
-	return id, err == nil
-}
--- a/internal/server/recentruns_test.go
+++ b/internal/server/recentruns_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"fmt"
 	"math/rand"
 	"testing"
 
@@ -16,7 +15,7 @@
 	var runs recentRuns
 	runs.init(100 * recentRunMemoryDivisor * recentRunBytes)
 	require.Equal(t, 100, runs.max)
-	id := func(i int) string { return fmt.Sprintf("%016x", i) }
+	id := func(i int) uint64 { return uint64(i) }
 	for i := range 1000 {
 		runs.add(id(i), timeunit.Ticks(i), timeunit.Ticks(i)+50)
 		require.True(t, runs.contains(id(i), timeunit.Ticks(i)))
@@ -40,9 +39,9 @@
 	random := rand.New(rand.NewSource(3))
 	var runs recentRuns
 	runs.init(1 << 30)
-	model := map[string]timeunit.Ticks{}
+	model := map[uint64]timeunit.Ticks{}
 	for now := timeunit.Ticks(1); now < 5000; now++ {
-		id := fmt.Sprintf("%016x", random.Intn(200))
+		id := uint64(random.Intn(200))
 		switch random.Intn(4) {
 		case 0:
 			runs.remove(id)
@@ -51,7 +50,7 @@
 			runs.add(id, now, now+100)
 			model[id] = now + 100
 		}
-		probe := fmt.Sprintf("%016x", random.Intn(200))
+		probe := uint64(random.Intn(200))
 		require.Equal(t, model[probe] > now, runs.contains(probe, now))
 	}
 }
--- a/internal/server/request.go
+++ b/internal/server/request.go
@@ -16,6 +16,7 @@
 type request struct {
 	server   *Server
 	id       string // assigned by the router; also identifies the request to the interpreter and the index
+	number   uint64 // the number that id represents
 	category int
 	body     []byte
 
@@ -136,7 +137,7 @@
 	if r.entry != nil && r.entry.owner == r && !r.runDone {
 		r.entry.hasStarted = false
 	}
-	r.server.requests.recentRuns.remove(r.id)
+	r.server.requests.recentRuns.remove(r.number)
 	r.reservation.UndoStart(r.server.now)
 	r.handleRunEnd(admission.NeverStarted, 0, nil)
 }
--- a/internal/server/request_socket_test.go
+++ b/internal/server/request_socket_test.go
@@ -125,7 +125,7 @@
 	server, interpreter := servertest.Start(t)
 	goodRouter := server.ConnectRouter()
 	id := interpreter.StartLook(goodRouter, 1, "good")
-	begin := string(emulator.FastCGIRecord(1, 1, "\x00\x01\x01\x00\x00\x00\x00\x00"))
+	begin := string(emulator.FastCGIBegin(1))
 	for _, test := range []struct {
 		data   string
 		closes bool
@@ -201,7 +201,7 @@
 	router := server.ConnectRouter()
 	id := interpreter.StartLook(router, 1, "whole")
 	incomplete := slices.Concat(
-		emulator.FastCGIRecord(1, 7, "\x00\x01\x01\x00\x00\x00\x00\x00"),
+		emulator.FastCGIBegin(7),
 		emulator.FastCGIRecord(4, 7, "begun"))
 	incompleteOnly.WriteBytes(incomplete)
 	router.WriteBytes(incomplete)
@@ -209,7 +209,7 @@
 	incompleteOnly.RequireClosed()
 	router.ExpectResponse(7, 408, "")
 	router.WriteBytes(slices.Concat(
-		emulator.FastCGIRecord(1, 8, "\x00\x01\x01\x00\x00\x00\x00\x00"),
+		emulator.FastCGIBegin(8),
 		emulator.FastCGIRecord(4, 8, ""),
 		emulator.FastCGIRecord(5, 8, strings.Repeat("x", 9000))))
 	router.ExpectResponse(8, 413, "") // the response comes before the end of the request is sent
--- a/internal/server/requestparser.go
+++ b/internal/server/requestparser.go
@@ -113,7 +113,8 @@
 
 // parseIdentity checks the request ID and sets the time at which the router received the request.
 func (t *requestTable) parseIdentity(req *request, fields *fieldValues) error {
-	_, err := strconv.ParseUint(req.id, 16, 64)
+	var err error
+	req.number, err = strconv.ParseUint(req.id, 16, 64)
 	if err != nil || len(req.id) != requestIDDigits {
 		return errRequestID
 	}
--- a/internal/server/requesttable.go
+++ b/internal/server/requesttable.go
@@ -81,7 +81,7 @@
 // wouldRunAgain reports whether a request came under an identifier that ran recently and has no result to share.
 // Identifiers are new with every attempt, so it is the same attempt again.
 func (t *requestTable) wouldRunAgain(req *request) bool {
-	return t.recentRuns.contains(req.id, t.server.now) && t.findStartedEntry(req) == nil
+	return t.recentRuns.contains(req.number, t.server.now) && t.findStartedEntry(req) == nil
 }
 
 // respondInvalid answers an invalid request with the status of reason, which must be a statusError.
